--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -7,8 +7,8 @@
 	"io"
 	"os"
 
-	"loftdock/internal/wire"
-	"loftdock/rules"
+	"oxbowbridge/internal/wire"
+	"oxbowbridge/rules"
 )
 
 func main() {
--- a/internal/wire/print.go
+++ b/internal/wire/print.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"loftdock/rules"
+	"oxbowbridge/rules"
 )
 
 // AppendSpeaking names the instance of the actions that follow.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,7 +7,7 @@
 	"math"
 	"time"
 
-	"loftdock/rules"
+	"oxbowbridge/rules"
 )
 
 // wireSettings are the keys of the settings object that the controller is told.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"loftdock/rules"
+	"oxbowbridge/rules"
 )
 
 // Create is the start of an instance.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"loftdock/rules"
+	"oxbowbridge/rules"
 )
 
 const settings = `{"tick_ns":4000000,"servers":10,"counted_by":"work","new_key":{"x":1},` +
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"loftdock/rules"
+	"oxbowbridge/rules"
 )
 
 // A server's loop: it gives the controller what happened and carries out what
