--- a/cmd/oxbowbridge/config.go
+++ b/cmd/oxbowbridge/config.go
@@ -25,6 +25,15 @@
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
 	Settings wire.Settings `json:"settings"`
+	AJP      *ajpConfig    `json:"ajp"` // absent on the platform
+}
+
+// ajpConfig sets up callers and upstreams that speak AJP13.
+type ajpConfig struct {
+	Listen         string   `json:"listen"`
+	Secret         string   `json:"secret"`
+	Upstreams      []string `json:"upstreams"` // they do the work, in place of an engine
+	UpstreamSecret string   `json:"upstream_secret"`
 }
 
 // fault is an error in one field of the configuration.
@@ -61,13 +70,19 @@
 	if c.Name == "" {
 		return fault("name", "%w", errMissing)
 	}
-	for _, a := range []struct {
+	if c.AJP == nil {
+		c.AJP = &ajpConfig{}
+	}
+	type address struct {
 		field, addr string
 		needed      bool
-	}{
-		{"listen", c.Listen, true}, {"engine", c.Engine, true},
-		{"lookup", c.Lookup, false}, {"records", c.Records, false},
-	} {
+	}
+	addresses := []address{{"listen", c.Listen, c.AJP.Listen == ""}, {"engine", c.Engine, len(c.AJP.Upstreams) == 0},
+		{"lookup", c.Lookup, false}, {"records", c.Records, false}, {"ajp.listen", c.AJP.Listen, false}}
+	for _, a := range c.AJP.Upstreams {
+		addresses = append(addresses, address{"ajp.upstreams", a, true})
+	}
+	for _, a := range addresses {
 		if a.addr == "" && !a.needed {
 			continue
 		}
@@ -81,7 +96,15 @@
 	if _, err := c.seed(); err != nil {
 		return err
 	}
+	// A stranger who reaches an AJP port can set any field of a request.
+	if host, _, _ := net.SplitHostPort(c.AJP.Listen); host != "" && c.AJP.Secret == "" {
+		if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+			return fault("ajp.secret", "needed unless ajp.listen is a loopback address")
+		}
+	}
 	switch {
+	case c.Engine != "" && len(c.AJP.Upstreams) > 0:
+		return fault("ajp.upstreams", "not together with engine")
 	case c.StopMS < 500:
 		return fault("stop_ms", "%d is too short, want at least 500", c.StopMS)
 	case c.Limits.MemoryMB < 32:
--- /dev/null
+++ b/internal/ajp/front.go
@@ -0,0 +1,255 @@
+package ajp
+
+import (
+	"crypto/subtle"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"oxbowbridge/internal/exchange"
+	"oxbowbridge/internal/front"
+	"oxbowbridge/internal/socket"
+)
+
+// partMost is how long the rest of a body may take to come.
+const partMost = 30 * time.Second
+
+// Front takes requests in AJP13.
+type Front struct {
+	front.Conns
+	x       *exchange.Exchange
+	log     *zap.Logger
+	classes map[string]int
+	secret  string
+}
+
+// NewFront returns a Front that doesn't listen yet. Unless the secret is empty
+// each request must carry it.
+func NewFront(x *exchange.Exchange, classes map[string]int, secret string, log *zap.Logger) *Front {
+	return &Front{x: x, classes: classes, secret: secret, log: log}
+}
+
+// Listen takes connections on the address.
+func (f *Front) Listen(loop *socket.Loop, addr string, most int) error {
+	return f.Conns.Listen(loop, addr, most, func(s *socket.Conn) interface {
+		front.Conn
+		socket.Handler
+	} {
+		return &conn{front: f, sock: s, parser: parser{magic: toServer}, used: time.Now()}
+	}, func(err error) { f.log.Warn("connection not taken", zap.Error(err)) })
+}
+
+// conn is one connection of a web server, which sends one request at a time.
+type conn struct {
+	front  *Front
+	sock   *socket.Conn
+	parser parser // of the loop's goroutine
+	bad    bool
+
+	mu   sync.Mutex
+	call *call // from the first byte of a request to its answer
+	used time.Time
+	shut bool // closed by this side
+}
+
+// call is one request.
+type call struct {
+	conn    *conn
+	fields  front.Fields
+	body    []byte
+	left    int  // bytes of the body to come; negative if its length isn't told
+	whole   bool // read
+	request *exchange.Request
+}
+
+func (c *conn) Sock() *socket.Conn { return c.sock }
+
+// CloseIdle closes the connection if no request is open and none was for long.
+func (c *conn) CloseIdle(now time.Time, idle time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lost := c.call != nil && !c.call.whole && now.Sub(c.used) > partMost // its caller hangs: never a request
+	if !lost && (c.call != nil || c.sock.Pending() > 0 || now.Sub(c.used) < idle) {
+		return false
+	}
+	if lost {
+		c.front.log.Warn("body never came, connection closed")
+	}
+	c.shut = true // guards against a request that begins while this closes
+	c.sock.Close()
+	return true
+}
+
+// Data takes what came, in whatever pieces.
+func (c *conn) Data(b []byte) {
+	if c.bad {
+		return
+	}
+	if err := c.parser.feed(b, c.packet); err != nil {
+		// Guards against callers that don't speak AJP13, or out of turn: nothing
+		// after the fault can be trusted to be a packet.
+		c.bad = true
+		c.front.log.Warn("malformed AJP, connection closed", zap.Error(err))
+		c.sock.Abandon()
+	}
+}
+
+// Closed drops what was not read whole, which was never a request.
+func (c *conn) Closed(error) {
+	c.front.Remove(c)
+	c.mu.Lock()
+	k := c.call
+	c.call, c.shut = nil, true
+	c.mu.Unlock()
+	if k != nil && k.request != nil {
+		c.front.x.Post(exchange.Gone{Request: k.request})
+	}
+}
+
+func (c *conn) packet(content []byte) error {
+	c.mu.Lock()
+	k, shut := c.call, c.shut
+	c.mu.Unlock()
+	switch {
+	case shut:
+		return nil
+	case k != nil && !k.whole:
+		return c.chunk(k, content)
+	case len(content) == 0:
+		return errors.New("empty packet where none is due")
+	case content[0] == codeCPing && k == nil:
+		c.sock.Write(packet(toWeb, []byte{codeCPong}))
+		return nil
+	case content[0] == codeShutdown || content[0] == codePing:
+		return nil // the operators' signals stop the service, no caller does
+	case content[0] == codeForward && k == nil:
+		return c.forward(content[1:])
+	}
+	return fmt.Errorf("packet of code %d where none is due", content[0])
+}
+
+func (c *conn) forward(content []byte) error {
+	f, err := readForward(content)
+	if err != nil {
+		return err
+	}
+	k := &call{conn: c, fields: front.Fields{Path: f.path, Method: f.method, Get: func(name string) string {
+		return f.headers[strings.ToLower(name)]
+	}}}
+	c.mu.Lock()
+	c.call, c.used = k, time.Now()
+	c.mu.Unlock()
+	if subtle.ConstantTimeCompare([]byte(f.secret), []byte(c.front.secret)) != 1 {
+		c.fault(k, 403, errors.New("secret: wrong or missing"))
+		return nil
+	}
+	if t, ok := f.headers["content-length"]; ok {
+		if k.left, err = strconv.Atoi(t); err != nil || k.left < 0 {
+			c.fault(k, 400, fmt.Errorf("content-length %q", t))
+			return nil
+		}
+	} else if f.headers["transfer-encoding"] != "" {
+		k.left = -1
+		c.ask() // the first piece comes unasked only where the length is told
+	}
+	if k.left > front.BodyMost {
+		c.fault(k, 413, fmt.Errorf("body of %d bytes, %d at most", k.left, front.BodyMost))
+		return nil
+	}
+	if k.left == 0 {
+		c.complete(k)
+	}
+	return nil
+}
+
+// ask has the caller send the next piece of the body.
+func (c *conn) ask() {
+	c.sock.Write(packet(toWeb, binary.BigEndian.AppendUint16([]byte{codeGetBody}, chunkMost)))
+}
+
+// chunk takes a piece of the body.
+func (c *conn) chunk(k *call, content []byte) error {
+	r := reader{b: content}
+	n := 0
+	if len(content) > 0 {
+		n = int(r.uint())
+	}
+	piece := r.take(n)
+	switch {
+	case n > 0 && r.err != nil:
+		return fmt.Errorf("body chunk: %w", r.err)
+	case n == 0 && k.left > 0:
+		return fmt.Errorf("body ends %d bytes early", k.left)
+	case k.left >= 0 && n > k.left:
+		return errors.New("body is longer than was told")
+	case len(k.body)+n > front.BodyMost:
+		c.fault(k, 413, fmt.Errorf("body of more than %d bytes", front.BodyMost))
+		return nil
+	}
+	k.body = append(k.body, piece...)
+	if k.left > 0 {
+		k.left -= n
+	}
+	if n == 0 || k.left == 0 {
+		c.complete(k)
+	} else {
+		c.ask()
+	}
+	return nil
+}
+
+// complete hands a request over: only now is it one.
+func (c *conn) complete(k *call) {
+	c.mu.Lock()
+	k.whole = true
+	c.mu.Unlock()
+	if k.fields.Ping() {
+		c.reply(k, front.Health(c.front.x.Healthy()), true)
+		return
+	}
+	req, err := k.fields.Request(c.front.classes, time.Now())
+	if err != nil {
+		c.front.log.Warn("request failed", zap.Int("status", 400), zap.Error(err))
+		c.reply(k, front.Reply{Status: 400}, true)
+		return
+	}
+	req.Body, req.From = k.body, k
+	c.mu.Lock()
+	k.request = req
+	c.mu.Unlock()
+	if !c.front.x.Submit(req) {
+		c.front.log.Warn("request turned down: no room")
+		c.reply(k, front.Reply{Status: 503}, true)
+	}
+}
+
+// fault fails a request whose body was not read: the connection can't go on.
+func (c *conn) fault(k *call, status int, err error) {
+	c.front.log.Warn("request failed", zap.Int("status", status), zap.Error(err))
+	c.reply(k, front.Reply{Status: status}, false)
+}
+
+// Answer is called by the core.
+func (k *call) Answer(a exchange.Answer) { k.conn.reply(k, front.Word(a), true) }
+
+// reply writes a response, once.
+func (c *conn) reply(k *call, r front.Reply, reuse bool) {
+	headers := append([][2]string{{"Content-Type", "application/octet-stream"},
+		{"Content-Length", strconv.Itoa(len(r.Body))}}, r.Headers...)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.call != k {
+		return
+	}
+	c.call, c.used = nil, time.Now()
+	c.sock.Write(appendResponse(nil, r.Status, headers, r.Body, reuse))
+	// A web server closes what it can't use again. Closing here could reset the
+	// connection under the answer, while the body is still on its way.
+	c.shut = c.shut || !reuse
+}
--- /dev/null
+++ b/internal/ajp/upstream.go
@@ -0,0 +1,326 @@
+package ajp
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"oxbowbridge/internal/deadline"
+	"oxbowbridge/internal/exchange"
+	"oxbowbridge/internal/socket"
+)
+
+const (
+	dialTimeout  = time.Second
+	pongTimeout  = time.Second
+	upIdleMost   = 10 * time.Second // an unused connection is kept so long
+	probeEvery   = 500 * time.Millisecond
+	upResultMost = 64 << 10
+	sendsMost    = 2 // of a run that may be sent again
+)
+
+var (
+	errLost = errors.New("upstream lost")
+	errSize = fmt.Errorf("result of more than %d bytes", upResultMost)
+)
+
+// Upstreams is the exchange.Runner that has AJP servers do the work, one run at
+// a time on a connection. All of it runs in the core's goroutine, but for the
+// parsing of what arrives.
+type Upstreams struct {
+	addrs  []string
+	secret string
+	gauges []string // names, in the order in which they are reported
+	cores  int
+	x      *exchange.Exchange
+	loop   *socket.Loop
+	due    *deadline.Set
+	now    func() time.Duration
+	log    *zap.Logger
+	next   int // address that the next new connection goes to
+	free   []*upConn
+	runs   map[string]*upRun
+	ready  bool
+}
+
+// upRun is a run that has not ended.
+type upRun struct {
+	exchange.Attempt
+	began  time.Duration
+	sends  int // times that it may have run
+	refuse int // addresses tried in vain for it
+	conn   *upConn
+}
+
+// upConn is a connection to an upstream.
+type upConn struct {
+	up     *Upstreams
+	sock   *socket.Conn
+	parser parser
+	bad    bool
+
+	run    *upRun // nil while it is free
+	asked  bool   // CPING is out
+	sent   bool   // the request is: it may run
+	body   []byte // of the request, still to be sent
+	status int
+	result []byte
+	timer  *deadline.Entry
+	closed bool
+}
+
+// NewUpstreams returns a runner that isn't connected.
+func NewUpstreams(addrs []string, secret string, cores int, gauges []string, x *exchange.Exchange, loop *socket.Loop,
+	due *deadline.Set, now func() time.Duration, log *zap.Logger) *Upstreams {
+	return &Upstreams{addrs: addrs, secret: secret, cores: cores, gauges: gauges, x: x, loop: loop, due: due, now: now,
+		log: log, runs: map[string]*upRun{}}
+}
+
+// Open looks for an upstream until one answers; then the service is ready.
+func (u *Upstreams) Open() {
+	if u.ready {
+		return
+	}
+	u.dial(nil)
+	u.due.At(u.now()+probeEvery, u.Open)
+}
+
+// Run has a run done.
+func (u *Upstreams) Run(a exchange.Attempt) {
+	r := &upRun{Attempt: a, began: u.now()}
+	u.runs[a.Trace] = r
+	u.place(r)
+}
+
+// place gives a run a connection.
+func (u *Upstreams) place(r *upRun) {
+	if n := len(u.free); n > 0 {
+		c := u.free[n-1]
+		u.free = u.free[:n-1]
+		c.run, r.conn = r, c
+		c.ask() // guards against a connection that was closed while it was free
+		return
+	}
+	u.dial(r)
+}
+
+func (u *Upstreams) dial(r *upRun) {
+	addr := u.addrs[u.next%len(u.addrs)]
+	u.next++
+	c := &upConn{up: u, parser: parser{magic: toWeb}, run: r}
+	if r != nil {
+		r.conn = c
+	}
+	u.loop.Dial("tcp", addr, dialTimeout, func(s *socket.Conn) socket.Handler {
+		c.sock = s
+		return c
+	}, func(_ *socket.Conn, err error) {
+		u.x.Post(exchange.Step(func() { c.opened(addr, err) }))
+	})
+}
+
+func (c *upConn) opened(addr string, err error) {
+	switch {
+	case err != nil:
+		c.up.log.Warn("upstream not reached", zap.String("address", addr), zap.Error(err))
+		c.lost(err)
+	case c.closed: // stopped meanwhile
+		c.sock.Abandon()
+	case c.run != nil:
+		c.send()
+	default:
+		c.ask()
+	}
+}
+
+// ask makes sure that the upstream is there before anything is sent.
+func (c *upConn) ask() {
+	c.up.due.Cancel(c.timer)
+	c.asked = true
+	c.sock.Write(packet(toServer, []byte{codeCPing}))
+	c.timer = c.up.due.At(c.up.now()+pongTimeout, func() { c.lost(errLost) })
+}
+
+func (c *upConn) send() {
+	r := c.run
+	c.sent, c.body = true, r.Body
+	r.sends++
+	headers := [][2]string{{"trace-id", r.Trace}, {"content-length", strconv.Itoa(len(r.Body))}}
+	c.sock.Write(appendForward("/call/"+r.Class, c.up.secret, headers))
+	if len(r.Body) > 0 {
+		c.piece(chunkMost)
+	}
+}
+
+// piece sends the next piece of the body, an empty one at its end.
+func (c *upConn) piece(most int) {
+	n := min(len(c.body), most, chunkMost)
+	c.sock.Write(chunk(c.body[:n]))
+	c.body = c.body[n:]
+}
+
+// Halt stops a run by closing its connection.
+func (u *Upstreams) Halt(trace string) {
+	r := u.runs[trace]
+	if r == nil {
+		return
+	}
+	c := r.conn
+	c.run = nil
+	c.lost(nil)
+	u.end(r, exchange.Stopped, nil)
+}
+
+// Feed does nothing: an upstream makes its calls itself.
+func (u *Upstreams) Feed(string, []byte) {}
+
+// AskGauges reports what can be told from outside: each run holds a core.
+func (u *Upstreams) AskGauges() {
+	busy := float64(len(u.runs))
+	values := map[string]float64{"core_use": min(1, busy/float64(u.cores)), "on_cores": busy}
+	var g exchange.Gauges
+	for _, name := range u.gauges {
+		v, ok := values[name]
+		if !ok {
+			v = -1
+		}
+		g = append(g, v)
+	}
+	u.x.Post(g)
+}
+
+func (u *Upstreams) end(r *upRun, end exchange.End, result []byte) {
+	delete(u.runs, r.Trace)
+	u.x.Post(exchange.Outcome{Trace: r.Trace, Stage: exchange.Ran, End: end, Took: u.now() - r.began, Body: result})
+}
+
+// lost ends a connection, and what ran on it unless it may be tried once more.
+func (c *upConn) lost(err error) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	u := c.up
+	u.due.Cancel(c.timer)
+	for i, f := range u.free {
+		if f == c {
+			u.free = append(u.free[:i], u.free[i+1:]...)
+			break
+		}
+	}
+	if c.sock != nil {
+		c.sock.Abandon()
+	}
+	r := c.run
+	if r == nil {
+		return
+	}
+	c.run = nil
+	if !c.sent && !c.asked {
+		r.refuse++ // a new connection failed: proof that nothing ran, any run may go elsewhere
+	}
+	// Guards nom-submit against a second run: what was sent may have run.
+	again := !c.sent && r.refuse <= len(u.addrs) || c.sent && r.Safe && r.sends < sendsMost
+	if again {
+		u.place(r)
+		return
+	}
+	u.log.Warn("run failed", zap.String("trace", r.Trace), zap.Error(err))
+	u.end(r, exchange.Error, nil)
+}
+
+// Data parses what came and hands it to the core's goroutine.
+func (c *upConn) Data(b []byte) {
+	if c.bad {
+		return
+	}
+	err := c.parser.feed(b, func(content []byte) error {
+		own := append([]byte(nil), content...)
+		c.up.x.Post(exchange.Step(func() {
+			if err := c.packet(own); err != nil && !c.closed {
+				c.up.log.Warn("malformed AJP of an upstream", zap.Error(err))
+				c.lost(err)
+			}
+		}))
+		return nil
+	})
+	if err != nil {
+		c.bad = true
+		c.Closed(err)
+	}
+}
+
+// Closed is called when the connection is lost.
+func (c *upConn) Closed(err error) {
+	c.up.x.Post(exchange.Step(func() { c.lost(errors.Join(errLost, err)) }))
+}
+
+func (c *upConn) packet(content []byte) error {
+	if c.closed {
+		return nil
+	}
+	if len(content) == 0 {
+		return errShort
+	}
+	r := reader{b: content[1:]}
+	switch code := content[0]; {
+	case code == codeCPong && c.asked:
+		c.pong()
+	case !c.sent || c.run == nil:
+		return fmt.Errorf("packet of code %d where none is due", code)
+	case code == codeHeaders:
+		c.status = int(r.uint())
+	case code == codeBodyChunk:
+		c.result = append(c.result, r.take(int(r.uint()))...)
+		if len(c.result) > upResultMost {
+			return errSize
+		}
+	case code == codeGetBody:
+		c.piece(int(r.uint()))
+	case code == codeEnd:
+		c.finished(r.byte() == 1 && r.err == nil)
+	default:
+		return fmt.Errorf("packet of code %d", code)
+	}
+	return r.err
+}
+
+func (c *upConn) pong() {
+	c.asked = false
+	c.up.due.Cancel(c.timer)
+	if !c.up.ready {
+		c.up.ready = true
+		c.up.log.Info("upstream up")
+		c.up.x.Post(exchange.Ready{})
+	}
+	if c.run != nil {
+		c.send()
+	} else {
+		c.rest()
+	}
+}
+
+// rest keeps the connection for the next run.
+func (c *upConn) rest() {
+	c.up.free = append(c.up.free, c)
+	c.timer = c.up.due.At(c.up.now()+upIdleMost, func() { c.lost(nil) })
+}
+
+func (c *upConn) finished(reuse bool) {
+	r, status, result := c.run, c.status, c.result
+	c.run, c.sent, c.body, c.status, c.result = nil, false, nil, 0, nil
+	end := exchange.OK
+	if status != 200 {
+		end = exchange.Error
+		c.up.log.Warn("upstream failed a run", zap.String("trace", r.Trace), zap.Int("status", status))
+	}
+	c.up.end(r, end, result)
+	if reuse {
+		c.rest()
+	} else {
+		c.lost(nil)
+	}
+}
--- /dev/null
+++ b/tests/clients_test.go
@@ -0,0 +1,240 @@
+package tests
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	headers map[string]string
+	body    string
+}
+
+// client is a caller in one of the protocols, one request at a time.
+type client interface {
+	do(path string, fields map[string]string, body []byte) (answer, error)
+	Close() error
+}
+
+var traces atomic.Uint64
+
+// newTrace names a new try.
+func newTrace() string { return fmt.Sprintf("%016x", traces.Add(1)) }
+
+// fieldsOf are the fields of a new request.
+func fieldsOf(trace string) map[string]string {
+	return map[string]string{"Trace-Id": trace, "Accepted-At-Ms": strconv.FormatInt(time.Now().UnixMilli(), 10),
+		"Client-No": "4", "Expected-Ms": "12.50", "Reserve-Kb": "46", "Standing": "0.6250"}
+}
+
+func parseCGI(text string) answer {
+	head, body, _ := strings.Cut(text, "\r\n\r\n")
+	a := answer{headers: map[string]string{}, body: body}
+	for _, l := range strings.Split(head, "\r\n") {
+		name, value, _ := strings.Cut(l, ": ")
+		a.headers[name] = value
+	}
+	a.status, _ = strconv.Atoi(a.headers["Status"])
+	return a
+}
+
+// fcgi is a FastCGI connection of a balancer.
+type fcgi struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dialFCGI(addr string) (*fcgi, error) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c.SetDeadline(time.Now().Add(patience))
+	return &fcgi{c, bufio.NewReader(c)}, nil
+}
+
+func fcgiRecord(kind byte, id uint16, content []byte) []byte {
+	b := []byte{1, kind, byte(id >> 8), byte(id), byte(len(content) >> 8), byte(len(content)), 3, 0}
+	return append(append(b, content...), 0, 0, 0) // with padding
+}
+
+// fcgiRequest prints a whole request.
+func fcgiRequest(id uint16, path string, fields map[string]string, body []byte) []byte {
+	var params []byte
+	add := func(name, value string) {
+		params = append(params, byte(len(name)))
+		params = binary.BigEndian.AppendUint32(params, uint32(len(value))|1<<31) // the long form
+		params = append(append(params, name...), value...)
+	}
+	add("SCRIPT_NAME", path)
+	add("REQUEST_METHOD", "POST")
+	for name, value := range fields {
+		add("HTTP_"+strings.ToUpper(strings.ReplaceAll(name, "-", "_")), value)
+	}
+	b := fcgiRecord(1, id, []byte{0, 1, 1, 0, 0, 0, 0, 0})
+	b = append(b, fcgiRecord(4, id, params)...)
+	b = append(b, fcgiRecord(4, id, nil)...)
+	for ; len(body) > 0; body = body[min(len(body), 700):] {
+		b = append(b, fcgiRecord(5, id, body[:min(len(body), 700)])...)
+	}
+	return append(b, fcgiRecord(5, id, nil)...)
+}
+
+// read takes the next answer, whatever its id; proto is its protocol status.
+func (c *fcgi) read() (id uint16, a answer, proto byte, err error) {
+	var out []byte
+	for {
+		h := make([]byte, 8)
+		if _, err = io.ReadFull(c.r, h); err != nil {
+			return 0, a, 0, err
+		}
+		content := make([]byte, int(binary.BigEndian.Uint16(h[4:]))+int(h[6]))
+		if _, err = io.ReadFull(c.r, content); err != nil {
+			return 0, a, 0, err
+		}
+		switch h[1] {
+		case 6:
+			out = append(out, content...)
+		case 3:
+			return binary.BigEndian.Uint16(h[2:]), parseCGI(string(out)), content[4], nil
+		default:
+			return 0, answer{body: string(content)}, h[1], nil
+		}
+	}
+}
+
+func (c *fcgi) do(path string, fields map[string]string, body []byte) (answer, error) {
+	if _, err := c.Write(fcgiRequest(1, path, fields, body)); err != nil {
+		return answer{}, err
+	}
+	_, a, _, err := c.read()
+	return a, err
+}
+
+// ajp is an AJP connection of a web server.
+type ajp struct {
+	net.Conn
+	r      *bufio.Reader
+	secret string
+}
+
+func dialAJP(addr string) (*ajp, error) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c.SetDeadline(time.Now().Add(patience))
+	return &ajp{c, bufio.NewReader(c), "s3"}, nil
+}
+
+func ajpString(b []byte, s string) []byte {
+	return append(append(binary.BigEndian.AppendUint16(b, uint16(len(s))), s...), 0)
+}
+
+func ajpPacket(magic string, content []byte) []byte {
+	return append(binary.BigEndian.AppendUint16([]byte(magic), uint16(len(content))), content...)
+}
+
+func ajpChunk(b []byte) []byte {
+	if len(b) == 0 {
+		return ajpPacket("\x12\x34", nil)
+	}
+	return ajpPacket("\x12\x34", append(binary.BigEndian.AppendUint16(nil, uint16(len(b))), b...))
+}
+
+// ajpForward prints a FORWARD_REQUEST; a negative length tells none.
+func ajpForward(path, secret string, fields map[string]string, length int) []byte {
+	b := []byte{2, 4}
+	for _, s := range []string{"HTTP/1.1", path, "127.0.0.1", "desk", "head-office"} {
+		b = ajpString(b, s)
+	}
+	b = append(b, 0, 80, 0)
+	b = binary.BigEndian.AppendUint16(b, uint16(len(fields)+2))
+	b = ajpString(append(b, 0xA0, 0x0B), "head-office") // a coded name
+	if length >= 0 {
+		b = ajpString(append(b, 0xA0, 0x08), strconv.Itoa(length))
+	} else {
+		b = ajpString(ajpString(b, "Transfer-Encoding"), "chunked")
+	}
+	for name, value := range fields {
+		b = ajpString(ajpString(b, name), value)
+	}
+	b = ajpString(append(b, 0x05), "query=1")
+	b = ajpString(ajpString(append(b, 0x0A), "AJP_REMOTE_PORT"), "1")
+	b = ajpString(append(b, 0x0C), secret)
+	return ajpPacket("\x12\x34", append(b, 0xFF))
+}
+
+// packet reads one packet, of either direction.
+func (c *ajp) packet() ([]byte, error) {
+	h := make([]byte, 4)
+	if _, err := io.ReadFull(c.r, h); err != nil {
+		return nil, err
+	}
+	content := make([]byte, binary.BigEndian.Uint16(h[2:]))
+	_, err := io.ReadFull(c.r, content)
+	return content, err
+}
+
+// read takes the answer, and sends rest in pieces when asked.
+func (c *ajp) read(rest []byte) (answer, error) {
+	a := answer{headers: map[string]string{}}
+	for {
+		p, err := c.packet()
+		if err != nil {
+			return a, err
+		}
+		switch p[0] {
+		case 3:
+			a.body += string(p[3 : 3+int(p[1])<<8+int(p[2])])
+		case 4:
+			a.status = int(p[1])<<8 + int(p[2])
+			a.headers = ajpHeaders(p[3:])
+		case 5:
+			return a, nil
+		case 6:
+			n := min(len(rest), 700)
+			c.Write(ajpChunk(rest[:n]))
+			rest = rest[n:]
+		}
+	}
+}
+
+// ajpHeaders reads the message and the headers of SEND_HEADERS.
+func ajpHeaders(p []byte) map[string]string {
+	next := func() string {
+		n := int(p[0])<<8 + int(p[1])
+		s := string(p[2 : 2+n])
+		p = p[3+n:]
+		return s
+	}
+	next()
+	h := map[string]string{}
+	n := int(p[0])<<8 + int(p[1])
+	for p = p[2:]; n > 0; n-- {
+		name := next()
+		h[name] = next()
+	}
+	return h
+}
+
+func (c *ajp) do(path string, fields map[string]string, body []byte) (answer, error) {
+	n := min(len(body), 700)
+	b := ajpForward(path, c.secret, fields, len(body))
+	if n > 0 {
+		b = append(b, ajpChunk(body[:n])...)
+	}
+	if _, err := c.Write(b); err != nil {
+		return answer{}, err
+	}
+	return c.read(body[n:])
+}
--- /dev/null
+++ b/tests/process_test.go
@@ -0,0 +1,355 @@
+// Package tests starts the real program as a process and talks to it as its
+// callers and its servers would.
+package tests
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const patience = 20 * time.Second // how long any condition may take
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "oxbowbridge")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "oxbowbridge")
+	if out, err := exec.Command("go", "build", "-o", program, "../cmd/oxbowbridge").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+type object = map[string]any
+
+// settings are those of a small site: 20 requests of 46 kB fill its memory.
+func settings() object {
+	class := func(name, effect string, deadline time.Duration) object {
+		return object{"name": name, "effect": effect, "value": 2, "aim_ns": deadline * 3 / 4, "deadline_ns": deadline}
+	}
+	return object{
+		"tick_ns": 4e6, "servers": 1, "counted_by": "work",
+		"bounds": object{"max_retry_after_ns": 1e9, "retry_after": true},
+		"classes": []object{class("balance-view", "idempotent", 12*time.Second), class("cycle-check", "idempotent", 2*time.Second),
+			class("nom-update", "idempotent", 12*time.Second), class("nom-submit", "at_most_once", 12*time.Second)},
+		"family_info": object{"advert": "none", "below": "tier", "callers": 1, "class_calls": []bool{true, false, true, true},
+			"cores": 20, "halt": "drop", "idle_ns": 15e9, "memory_kb": 1000, "run_factor": 1,
+			"own_stats": []string{"core_use", "on_cores", "heap_share", "links"}},
+		"safety": object{"answer_slack_ns": 80e6, "cold_ns": 16e9, "cold_share": 0.2, "drain_grace_ns": 2.5e9,
+			"fall_multiple": 8, "fall_ns": 3e9},
+	}
+}
+
+// await waits for a condition.
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never happened: ", what)
+		}
+	}
+}
+
+// freePort is an address that nothing listens on.
+func freePort(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// service is the program under test.
+type service struct {
+	t      *testing.T
+	cmd    *exec.Cmd
+	fcgi   string
+	ajp    string
+	mu     sync.Mutex
+	stderr bytes.Buffer
+	exit   chan error
+}
+
+func (s *service) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stderr.Write(b)
+}
+
+func (s *service) log() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stderr.String()
+}
+
+// start runs the program with a configuration that change may alter.
+func start(t *testing.T, change func(object)) *service {
+	s := &service{t: t, fcgi: freePort(t), ajp: freePort(t), exit: make(chan error, 1)}
+	cfg := object{"name": "n3", "listen": s.fcgi, "seed": "8c1f30d27a5be964", "stop_ms": 4000,
+		"limits":   object{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"settings": settings(), "ajp": object{"listen": s.ajp, "secret": "s3"}}
+	change(cfg)
+	text, err := json.Marshal(cfg)
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	s.cmd = exec.Command(program)
+	s.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path)
+	s.cmd.Stderr = s
+	require.NoError(t, s.cmd.Start())
+	go func() { s.exit <- s.cmd.Wait() }()
+	t.Cleanup(func() {
+		s.cmd.Process.Kill()
+		if t.Failed() {
+			t.Log(s.log())
+		}
+	})
+	return s
+}
+
+// ready waits until health checks are good.
+func (s *service) ready() {
+	await(s.t, "a good health check", func() bool {
+		c, err := dialFCGI(s.fcgi)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		a, err := c.do("/ping", nil, nil)
+		return err == nil && a.status == 200
+	})
+}
+
+// drain sends the notice and waits for the end, which must be in time and good.
+func (s *service) drain() {
+	require.NoError(s.t, s.cmd.Process.Signal(syscall.SIGTERM))
+	s.ended()
+}
+
+func (s *service) ended() {
+	select {
+	case err := <-s.exit:
+		require.NoError(s.t, err, "exit code")
+	case <-time.After(4 * time.Second): // stop_ms
+		s.t.Fatal("still there when it would be killed")
+	}
+}
+
+// world is a service with its engine and records service.
+type world struct {
+	*service
+	engine  *engine
+	records *records
+}
+
+func newWorld(t *testing.T, change func(object)) *world {
+	w := &world{engine: newEngine(t), records: newRecords(t)}
+	w.service = start(t, func(cfg object) {
+		cfg["engine"], cfg["records"] = w.engine.addr, w.records.addr
+		if change != nil {
+			change(cfg)
+		}
+	})
+	w.ready()
+	return w
+}
+
+// linesOf reads lines of words, and the bytes after those that long picks.
+func linesOf(c net.Conn, long func([]string) bool, handle func(words []string, payload []byte)) {
+	r := bufio.NewReader(c)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		words := strings.Fields(line)
+		var payload []byte
+		if long(words) {
+			n, _ := strconv.Atoi(words[len(words)-1])
+			payload = make([]byte, n+2)
+			if _, err := io.ReadFull(r, payload); err != nil {
+				return
+			}
+			payload = payload[:n]
+		}
+		handle(words, payload)
+	}
+}
+
+// server accepts connections on a loopback address.
+func server(t *testing.T, serve func(net.Conn)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// engine stands in for the engine. A run's body says what becomes of it: "ok"
+// and "error" end it, "call" has it stand at a call first, "hold" waits for
+// release.
+type engine struct {
+	addr    string
+	mu      sync.Mutex
+	conn    net.Conn
+	notices []string
+	runs    map[string]int // RUN commands by trace
+	holds   []string
+	heard   []string
+	deaf    bool // reads commands and does nothing
+}
+
+func newEngine(t *testing.T) *engine {
+	e := &engine{runs: map[string]int{}}
+	e.addr = server(t, func(c net.Conn) {
+		e.mu.Lock()
+		e.conn = c
+		e.mu.Unlock()
+		linesOf(c, func(w []string) bool { return w[0] == "RUN" || w[0] == "FEED" }, e.command)
+	})
+	return e
+}
+
+func (e *engine) command(w []string, body []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if w[0] != "STAT" {
+		e.heard = append(e.heard, strings.Join(w, " "))
+	}
+	switch {
+	case e.deaf:
+	case w[0] == "ATTACH":
+		n, _ := strconv.Atoi(w[1])
+		fmt.Fprintf(e.conn, "HELLO WARM 20000\r\n%s", strings.Join(e.notices[n:], ""))
+	case w[0] == "STAT":
+		fmt.Fprintf(e.conn, "STATS %s 0.1 1 0.1 1\r\n", w[1])
+	case w[0] == "RUN":
+		e.runs[w[1]]++
+		switch string(body) {
+		case "ok":
+			e.notice("DONE %d "+w[1]+" OK 5 ", "result of "+w[1])
+		case "error":
+			e.notice("DONE %d "+w[1]+" ERROR 5 ", "")
+		case "call":
+			e.notice("NEED %d "+w[1]+" ", "call of "+w[1])
+		case "hold":
+			e.holds = append(e.holds, w[1])
+		}
+	case w[0] == "FEED":
+		e.notice("DONE %d "+w[1]+" OK 5 ", string(body))
+	case w[0] == "HALT":
+		e.notice("DONE %d "+w[1]+" STOPPED 5 ", "")
+	}
+}
+
+// notice sends a numbered notice that ends in a payload, and keeps it.
+func (e *engine) notice(format, payload string) {
+	n := fmt.Sprintf(format, len(e.notices)+1) + fmt.Sprintf("%d\r\n%s\r\n", len(payload), payload)
+	e.notices = append(e.notices, n)
+	e.conn.Write([]byte(n))
+}
+
+// release ends all runs that are held, last first.
+func (e *engine) release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := len(e.holds) - 1; i >= 0; i-- {
+		e.notice("DONE %d "+e.holds[i]+" OK 5 ", "result of "+e.holds[i])
+	}
+	e.holds = nil
+}
+
+func (e *engine) held() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.holds)
+}
+
+// heardOf counts the commands that start so.
+func (e *engine) heardOf(start string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return countOf(e.heard, start)
+}
+
+func countOf(lines []string, start string) (n int) {
+	for _, l := range lines {
+		if strings.HasPrefix(l, start) {
+			n++
+		}
+	}
+	return n
+}
+
+// records stands in for the records service: reply says how calls end, and what
+// is neither a word of the protocol nor "break" gets no answer.
+type records struct {
+	addr  string
+	mu    sync.Mutex
+	reply string
+	heard []string
+	conns int
+}
+
+func newRecords(t *testing.T) *records {
+	r := &records{reply: "DONE"}
+	r.addr = server(t, func(c net.Conn) {
+		r.mu.Lock()
+		r.conns++
+		r.mu.Unlock()
+		linesOf(c, func(w []string) bool { return w[0] == "OP" }, func(w []string, body []byte) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.heard = append(r.heard, strings.Join(w, " "))
+			switch {
+			case w[0] != "OP":
+			case r.reply == "DONE":
+				fmt.Fprintf(c, "%s DONE %d\r\n%s\r\n", w[1], len(body)+6, "reply:"+string(body))
+			case r.reply == "break":
+				c.Close()
+			case r.reply != "silence":
+				fmt.Fprintf(c, "%s %s\r\n", w[1], r.reply)
+			}
+		})
+	})
+	return r
+}
+
+func (r *records) set(reply string) {
+	r.mu.Lock()
+	r.reply = reply
+	r.mu.Unlock()
+}
+
+func (r *records) heardOf(start string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return countOf(r.heard, start)
+}
