--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -80,32 +80,43 @@
 }
 
 // Loop is the event loop.
-type Loop struct{ engine *nbio.Engine }
+type Loop struct {
+	engine *nbio.Engine
+	mu     sync.Mutex // orders the making of a Conn before its first use
+}
+
+func (l *Loop) conn(nb *nbio.Conn) (*Conn, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, ok := nb.Session().(*Conn)
+	return c, ok
+}
 
 // New starts a loop.
 func New() (*Loop, error) {
 	logging.SetLevel(logging.LevelNone)
 	e := nbio.NewEngine(nbio.Config{Name: "loop", NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: writeMost})
+	l := &Loop{engine: e}
 	e.OnOpen(func(*nbio.Conn) {})
 	e.OnData(func(nb *nbio.Conn, b []byte) {
-		if c, ok := nb.Session().(*Conn); ok {
+		if c, ok := l.conn(nb); ok {
 			c.handler.Data(b)
 		}
 	})
 	e.OnClose(func(nb *nbio.Conn, err error) {
-		if c, ok := nb.Session().(*Conn); ok {
+		if c, ok := l.conn(nb); ok {
 			c.handler.Closed(err)
 		}
 	})
 	e.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
-		if c, ok := nb.Session().(*Conn); ok {
+		if c, ok := l.conn(nb); ok {
 			c.written(n)
 		}
 	})
 	if err := e.Start(); err != nil {
 		return nil, fmt.Errorf("event loop: %w", err)
 	}
-	return &Loop{engine: e}, nil
+	return l, nil
 }
 
 func (l *Loop) add(raw net.Conn, handle func(*Conn) Handler) (*Conn, error) {
@@ -116,7 +127,9 @@
 	}
 	c := &Conn{nb: nb}
 	c.handler = handle(c)
+	l.mu.Lock()
 	nb.SetSession(c)
+	l.mu.Unlock()
 	if _, err := l.engine.AddConn(nb); err != nil {
 		return nil, fmt.Errorf("add connection: %w", err)
 	}
