--- /dev/null
+++ b/tests/fronts_test.go
@@ -0,0 +1,263 @@
+package tests
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// call sends one request on a new connection of the front.
+func (w *world) call(class, body string) (answer, error) {
+	c, err := dialFCGI(w.fcgi)
+	require.NoError(w.t, err)
+	defer c.Close()
+	return c.do("/call/"+class, fieldsOf(newTrace()), []byte(body))
+}
+
+func (w *world) status(class, body string) int {
+	a, err := w.call(class, body)
+	require.NoError(w.t, err)
+	return a.status
+}
+
+// TestFastCGIRecords: records in pieces and several at once, 32 requests of one
+// connection and no more, answers in any order, and closing only what is idle.
+func TestFastCGIRecords(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, func(cfg object) {
+		cfg["settings"].(object)["family_info"].(object)["idle_ns"] = 10e6 // shorter than the runs below
+		cfg["settings"].(object)["family_info"].(object)["memory_kb"] = 4000
+		cfg["settings"].(object)["family_info"].(object)["cores"] = 40
+	})
+	c, err := dialFCGI(w.fcgi)
+	require.NoError(t, err)
+	var all []byte
+	for id := range uint16(33) {
+		all = append(all, fcgiRequest(id+1, "/call/nom-submit", fieldsOf(newTrace()), []byte("hold"))...)
+	}
+	for ; len(all) > 0; all = all[min(len(all), 1000):] { // cut through records
+		_, err := c.Write(all[:min(len(all), 1000)])
+		require.NoError(t, err)
+	}
+	id, _, proto, err := c.read()
+	require.NoError(t, err)
+	assert.Equal(t, []int{33, 2}, []int{int(id), int(proto)}, "the 33rd is OVERLOADED")
+	await(t, "32 runs", func() bool { return w.engine.held() == 32 })
+	time.Sleep(1200 * time.Millisecond) // two sweeps for idle connections
+	w.engine.release()
+	seen := map[uint16]bool{}
+	for range 32 {
+		id, a, proto, err := c.read()
+		require.NoError(t, err)
+		assert.Equal(t, []int{200, 0}, []int{a.status, int(proto)})
+		assert.False(t, seen[id])
+		seen[id] = true
+	}
+	_, _, _, err = c.read()
+	assert.ErrorContains(t, err, "EOF", "closed once it is idle")
+}
+
+// TestFastCGIBadInput: a fault costs its request, or its connection, and one line.
+func TestFastCGIBadInput(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	c, err := dialFCGI(w.fcgi)
+	require.NoError(t, err)
+	big := bytes.Repeat([]byte("x"), 3000)
+	past := fieldsOf(newTrace())
+	past["Reserve-Kb"] = "-1"
+	for _, tt := range []struct {
+		path   string
+		fields map[string]string
+		body   []byte
+		status int
+		logs   string
+	}{
+		{"/call/nom-submit", fieldsOf(newTrace()), big, 413, "body of more than"},
+		{"/call/other", fieldsOf(newTrace()), nil, 400, "no such class"},
+		{"/call/nom-submit", map[string]string{"Trace-Id": "xyz"}, nil, 400, "Trace-Id"},
+		{"/call/nom-submit", past, nil, 400, "Reserve-Kb"},
+	} {
+		a, err := c.do(tt.path, tt.fields, tt.body)
+		require.NoError(t, err)
+		assert.Equal(t, tt.status, a.status)
+		await(t, tt.logs, func() bool { return strings.Count(w.log(), tt.logs) == 1 })
+	}
+	a, err := c.do("/call/nom-submit", fieldsOf(newTrace()), []byte("ok"))
+	require.NoError(t, err, "the connection goes on")
+	assert.Equal(t, 200, a.status)
+	_, err = c.Write(fcgiRecord(1, 7, []byte{0, 9, 1, 0, 0, 0, 0, 0}))
+	require.NoError(t, err)
+	_, _, proto, err := c.read()
+	require.NoError(t, err)
+	assert.EqualValues(t, 3, proto, "UNKNOWN_ROLE")
+	_, err = c.Write(fcgiRecord(9, 0, []byte("\x0f\x00FCGI_MPXS_CONNS")))
+	require.NoError(t, err)
+	_, a, proto, err = c.read()
+	require.NoError(t, err)
+	assert.EqualValues(t, 10, proto)
+	assert.Contains(t, a.body, "FCGI_MPXS_CONNS1")
+	_, err = c.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	require.NoError(t, err)
+	_, _, _, err = c.read()
+	assert.Error(t, err, "closed")
+	await(t, "a line", func() bool { return strings.Count(w.log(), "malformed FastCGI") == 1 })
+	assert.Equal(t, 200, w.status("nom-submit", "ok"))
+}
+
+// TestSlowReader: answers that nobody reads hold up no one else.
+func TestSlowReader(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	slow, err := dialFCGI(w.fcgi)
+	require.NoError(t, err)
+	slow.Conn.(*net.TCPConn).SetReadBuffer(1)
+	for id := range uint16(10) {
+		_, err = slow.Write(fcgiRequest(id+1, "/call/nom-submit", fieldsOf(newTrace()), []byte("ok")))
+		require.NoError(t, err)
+	}
+	assert.Equal(t, 200, w.status("nom-submit", "ok"))
+	for range 10 {
+		_, a, _, err := slow.read()
+		require.NoError(t, err)
+		assert.Equal(t, 200, a.status)
+	}
+}
+
+// TestArrival: the stamp sets the arrival, from which the due time runs.
+func TestArrival(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	c, err := dialFCGI(w.fcgi)
+	require.NoError(t, err)
+	fields, began := fieldsOf(newTrace()), time.Now()
+	fields["Accepted-At-Ms"] = strconv.FormatInt(began.Add(-1700*time.Millisecond).UnixMilli(), 10)
+	a, err := c.do("/call/cycle-check", fields, []byte("silence")) // 2 s in all
+	require.NoError(t, err)
+	assert.Equal(t, 500, a.status)
+	assert.Less(t, time.Since(began), 1500*time.Millisecond, "2 s counted from here")
+}
+
+// TestAJPCallers: pings, pieces of a body, secrets, and what is never a request.
+func TestAJPCallers(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	dial := func() *ajp {
+		c, err := dialAJP(w.ajp)
+		require.NoError(t, err)
+		return c
+	}
+	c := dial()
+	c.Write(append(ajpPacket("\x12\x34", []byte{7}), ajpPacket("\x12\x34", []byte{10})...)) // SHUTDOWN, CPING
+	p, err := c.packet()
+	require.NoError(t, err)
+	assert.Equal(t, []byte{9}, p)
+	trace := newTrace()
+	c.Write(ajpForward("/call/nom-submit", "s3", fieldsOf(trace), -1)) // no length told: asked for
+	a, err := c.read([]byte("ok"))
+	require.NoError(t, err)
+	assert.Equal(t, "result of "+trace, a.body)
+	a, err = c.do("/call/nom-submit", fieldsOf(newTrace()), append([]byte("ok"), bytes.Repeat([]byte(" "), 2000)...))
+	require.NoError(t, err)
+	assert.Equal(t, 500, a.status, "a body of three pieces, which the engine doesn't know")
+	a, err = c.do("/ping", nil, nil)
+	require.NoError(t, err)
+	assert.Equal(t, 200, a.status)
+	a, err = c.do("/call/nom-submit", fieldsOf(newTrace()), bytes.Repeat([]byte("x"), 3000))
+	require.NoError(t, err)
+	assert.Equal(t, 413, a.status)
+	for _, secret := range []string{"", "wrong"} {
+		c = dial()
+		c.secret = secret
+		a, err = c.do("/call/nom-submit", fieldsOf(newTrace()), []byte("ok"))
+		require.NoError(t, err)
+		assert.Equal(t, 403, a.status)
+	}
+	c = dial()
+	lost := newTrace()
+	c.Write(append(ajpForward("/call/nom-submit", "s3", fieldsOf(lost), 10), ajpChunk([]byte("ok"))...))
+	p, err = c.packet()
+	require.NoError(t, err)
+	assert.EqualValues(t, 6, p[0], "GET_BODY_CHUNK")
+	c.Close() // mid-body
+	c = dial()
+	c.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	_, err = c.packet()
+	assert.Error(t, err, "closed")
+	await(t, "a line", func() bool { return strings.Count(w.log(), "malformed AJP") == 1 })
+	w.drain()
+	assert.Zero(t, w.engine.heardOf("RUN "+lost))
+}
+
+// TestConfiguration: what is wrong is named in one plain line.
+func TestConfiguration(t *testing.T) {
+	t.Parallel()
+	for want, change := range map[string]func(object){
+		"listen: ":       func(c object) { c["listen"] = "nowhere" },
+		"engine: ":       func(c object) { delete(c, "engine") },
+		"stop_ms: ":      func(c object) { c["stop_ms"] = 3 },
+		"limits.sockets": func(c object) { c["limits"].(object)["sockets"] = "many" },
+		"settings: classes": func(c object) {
+			c["settings"].(object)["classes"] = []object{}
+		},
+		"settings: family_info.halt": func(c object) { c["settings"].(object)["family_info"].(object)["halt"] = "stop" },
+		"ajp.secret":                 func(c object) { c["ajp"] = object{"listen": "0.0.0.0:8009"} },
+		"ajp.upstreams":              func(c object) { c["ajp"] = object{"upstreams": []string{"127.0.0.1:1"}} },
+	} {
+		s := start(t, func(c object) {
+			c["engine"] = "127.0.0.1:1"
+			change(c)
+		})
+		select {
+		case err := <-s.exit:
+			var exit *exec.ExitError
+			require.ErrorAs(t, err, &exit, want)
+			assert.Equal(t, 2, exit.ExitCode(), want)
+		case <-time.After(patience):
+			t.Fatal("still there: ", want)
+		}
+		assert.Equal(t, 1, strings.Count(s.log(), "\n"), s.log())
+		assert.Contains(t, s.log(), want)
+	}
+	path := filepath.Join(t.TempDir(), "c.json")
+	require.NoError(t, os.WriteFile(path, []byte("{"), 0o600))
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path)
+	out, err := cmd.CombinedOutput()
+	assert.Error(t, err)
+	assert.Equal(t, "oxbowbridge: configuration: unexpected end of JSON input\n", string(out))
+}
+
+// TestDirectory: reports while it serves, and a last one at the notice.
+func TestDirectory(t *testing.T) {
+	t.Parallel()
+	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer udp.Close()
+	w := newWorld(t, func(cfg object) { cfg["lookup"] = udp.LocalAddr().String() })
+	next := func() string {
+		b := make([]byte, 100)
+		udp.SetReadDeadline(time.Now().Add(patience))
+		n, _, err := udp.ReadFrom(b)
+		require.NoError(t, err)
+		return string(b[:n])
+	}
+	for i := range 3 {
+		require.Equal(t, "PULSE n3 open", next(), fmt.Sprint(i))
+	}
+	require.NoError(t, w.cmd.Process.Signal(os.Interrupt))
+	for s := next(); s != "PULSE n3 closed"; s = next() {
+		require.Equal(t, "PULSE n3 open", s)
+	}
+	w.ended()
+}
