Replicated store: Raft between the nodes, SQLite or PostgreSQL as store of record

Seen: configuration and state lived in one file a node. internal/store keeps them in a small Raft log (hashicorp/raft, bbolt), mirrored by the leader through database/sql; cmd/oxbowbridge/keeper.go reads settings and log level from it and writes what the service does. Off without a 'store' object; no request touches it. Checked: tests/ kills the leader, lets a member lag, restarts all, loses all disks and keeps PostgreSQL away (a stand-in of its protocol); rows of an earlier life have higher log indexes than a new log, so a new leader resets them before it writes.

--- a/cmd/oxbowbridge/config.go
+++ b/cmd/oxbowbridge/config.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 
+	"oxbowbridge/internal/store"
 	"oxbowbridge/internal/wire"
 )
 
@@ -25,7 +26,8 @@
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
 	Settings wire.Settings `json:"settings"`
-	AJP      *ajpConfig    `json:"ajp"` // absent on the platform
+	AJP      *ajpConfig    `json:"ajp"`   // absent on the platform
+	Store    *store.Config `json:"store"` // absent on the platform
 }
 
 // ajpConfig sets up callers and upstreams that speak AJP13.
@@ -102,9 +104,16 @@
 			return fault("ajp.secret", "needed unless ajp.listen is a loopback address")
 		}
 	}
+	if c.Store != nil {
+		if err := c.Store.Check(); err != nil {
+			return fmt.Errorf("store.%w", err)
+		}
+	}
 	switch {
 	case c.Engine != "" && len(c.AJP.Upstreams) > 0:
 		return fault("ajp.upstreams", "not together with engine")
+	case c.Store != nil && c.StopMS < 2000:
+		return fault("stop_ms", "%d is too short, want at least 2000 with a store", c.StopMS)
 	case c.StopMS < 500:
 		return fault("stop_ms", "%d is too short, want at least 500", c.StopMS)
 	case c.Limits.MemoryMB < 32:
--- a/cmd/oxbowbridge/main.go
+++ b/cmd/oxbowbridge/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -53,17 +54,25 @@
 	}
 	debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB) * memoryShare * (1 << 20)))
 	runtime.GOMAXPROCS(2) // the core's goroutine and the event loop
-	log := logger().With(zap.String("name", cfg.Name))
+	level := zap.NewAtomicLevel()
+	log := logger(level).With(zap.String("name", cfg.Name))
 	defer log.Sync()
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	notice, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer release()
+	kept, err := openKeeper(notice, cfg, level, log)
+	if err != nil {
+		return err
+	}
+	defer kept.close()
 	c, x, err := wireUp(cfg, log)
 	if err != nil {
 		return err
 	}
+	kept.say("open")
 	go func() {
-		<-stop
-		x.Post(exchange.Step(func() { c.Drain(time.Duration(cfg.StopMS) * time.Millisecond) }))
+		<-notice.Done()
+		kept.say("draining")
+		x.Post(exchange.Step(func() { c.Drain(time.Duration(cfg.StopMS)*time.Millisecond - kept.closing()) }))
 	}()
 	c.Run()
 	return nil
@@ -147,9 +156,9 @@
 	return fronts
 }
 
-func logger() *zap.Logger {
+func logger(level zap.AtomicLevel) *zap.Logger {
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.ISO8601TimeEncoder
 	enc.EncodeDuration = zapcore.StringDurationEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stderr), zap.InfoLevel))
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stderr), level))
 }
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,259 @@
+// Package store is the small replicated store of the service's configuration
+// and administrative state: Raft between the nodes, and a SQL database as store
+// of record. It is never on the path of a request.
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapio"
+)
+
+const (
+	applyTimeout   = 3 * time.Second
+	electionTime   = 500 * time.Millisecond
+	keepSnapshots  = 2
+	snapshotAfter  = 1024 // log entries
+	transportConns = 3
+	transportTime  = 2 * time.Second
+)
+
+// CloseTime is how long Close takes at most.
+const CloseTime = time.Second
+
+// Peer is one node of the store.
+type Peer struct {
+	Name  string `json:"name"`
+	Raft  string `json:"raft"`  // where the nodes talk to each other
+	Admin string `json:"admin"` // where operators talk to it
+}
+
+// Config sets a node up. All nodes have the same peers.
+type Config struct {
+	Node  string `json:"node"`
+	Dir   string `json:"dir"`
+	Peers []Peer `json:"peers"`
+	SQL   struct {
+		Driver string `json:"driver"` // "sqlite", "postgres", or "" for no store of record
+		DSN    string `json:"dsn"`
+	} `json:"sql"`
+}
+
+// Check names the field at fault.
+func (c *Config) Check() error {
+	if c.Dir == "" {
+		return errors.New("dir: missing")
+	}
+	if _, ok := c.self(); !ok {
+		return fmt.Errorf("node: %q is not among the peers", c.Node)
+	}
+	for i, p := range c.Peers {
+		for field, addr := range map[string]string{"raft": p.Raft, "admin": p.Admin} {
+			host, _, err := net.SplitHostPort(addr)
+			if err != nil {
+				return fmt.Errorf("peers.%d.%s: %w", i, field, err)
+			}
+			// Neither port asks who is there.
+			if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+				return fmt.Errorf("peers.%d.%s: %s is not a loopback address", i, field, addr)
+			}
+		}
+	}
+	if _, ok := drivers[c.SQL.Driver]; !ok && c.SQL.Driver != "" {
+		return fmt.Errorf("sql.driver: %q is neither sqlite nor postgres", c.SQL.Driver)
+	}
+	return nil
+}
+
+func (c *Config) self() (Peer, bool) {
+	for _, p := range c.Peers {
+		if p.Name == c.Node {
+			return p, true
+		}
+	}
+	return Peer{}, false
+}
+
+// Store is one running node.
+type Store struct {
+	cfg    Config
+	self   Peer
+	log    *zap.Logger
+	raft   *raft.Raft
+	state  *state
+	mirror *mirror
+	admin  *admin
+	close  []func()
+}
+
+// Open starts a node. It finds the others by itself, and what it missed.
+func Open(cfg Config, log *zap.Logger) (*Store, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	s := &Store{cfg: cfg, log: log, state: newState()}
+	s.self, _ = cfg.self()
+	if err := s.open(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Store) open() error {
+	if err := os.MkdirAll(s.cfg.Dir, 0o750); err != nil {
+		return fmt.Errorf("dir: %w", err)
+	}
+	out := &zapio.Writer{Log: s.log.Named("raft"), Level: zap.InfoLevel}
+	rc := raft.DefaultConfig()
+	rc.LocalID = raft.ServerID(s.self.Name)
+	rc.HeartbeatTimeout, rc.ElectionTimeout, rc.LeaderLeaseTimeout = electionTime, electionTime, electionTime
+	rc.SnapshotThreshold = snapshotAfter
+	rc.Logger = hclog.New(&hclog.LoggerOptions{Level: hclog.Error, Output: out, DisableTime: true})
+	bolt, err := raftboltdb.NewBoltStore(filepath.Join(s.cfg.Dir, "log.db"))
+	if err != nil {
+		return fmt.Errorf("open log: %w", err)
+	}
+	s.close = append(s.close, func() { bolt.Close() })
+	snaps, err := raft.NewFileSnapshotStoreWithLogger(s.cfg.Dir, keepSnapshots, rc.Logger)
+	if err != nil {
+		return fmt.Errorf("open snapshots: %w", err)
+	}
+	transport, err := raft.NewTCPTransportWithLogger(s.self.Raft, nil, transportConns, transportTime, rc.Logger)
+	if err != nil {
+		return fmt.Errorf("raft address: %w", err)
+	}
+	s.close = append(s.close, func() { transport.Close() })
+	had, err := raft.HasExistingState(bolt, bolt, snaps)
+	if err != nil {
+		return fmt.Errorf("read log: %w", err)
+	}
+	if !had { // all nodes start from the same list, so each may do so alone
+		var servers []raft.Server
+		for _, p := range s.cfg.Peers {
+			servers = append(servers, raft.Server{ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Raft)})
+		}
+		if err := raft.BootstrapCluster(rc, bolt, bolt, snaps, transport, raft.Configuration{Servers: servers}); err != nil {
+			return fmt.Errorf("first start: %w", err)
+		}
+	}
+	if s.raft, err = raft.NewRaft(rc, s.state, bolt, bolt, snaps, transport); err != nil {
+		return fmt.Errorf("start raft: %w", err)
+	}
+	s.close = append(s.close, func() { s.raft.Shutdown().Error() })
+	if s.admin, err = serveAdmin(s); err != nil {
+		return err
+	}
+	s.close = append(s.close, s.admin.close)
+	if s.cfg.SQL.Driver != "" {
+		s.mirror = startMirror(s)
+		s.close = append(s.close, s.mirror.close)
+	}
+	return nil
+}
+
+// Close stops the node, waiting CloseTime at most: what is committed is on disk.
+func (s *Store) Close() {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := len(s.close) - 1; i >= 0; i-- {
+			s.close[i]()
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(CloseTime):
+		s.log.Warn("store did not stop in time")
+	}
+}
+
+// Watch has call told of each change from now on, in order; value is nil for a
+// key that was deleted. It must not block.
+func (s *Store) Watch(call func(key string, value json.RawMessage)) { s.state.watch(call) }
+
+// Get reads a key as this node knows it.
+func (s *Store) Get(key string) (json.RawMessage, bool) {
+	e, ok := s.state.get(key)
+	return e.Value, ok
+}
+
+// Caught waits until this node knows all that was committed when it asked, and
+// reports whether it does.
+func (s *Store) Caught(ctx context.Context) bool {
+	for {
+		if err := s.sync(ctx); err == nil {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// sync waits for what the leader has committed by now.
+func (s *Store) sync(ctx context.Context) error {
+	if s.raft.State() == raft.Leader {
+		return s.raft.Barrier(applyTimeout).Error()
+	}
+	status, err := s.admin.statusOfLeader(ctx)
+	if err != nil {
+		return err
+	}
+	if s.raft.AppliedIndex() < status.Applied {
+		return errors.New("behind the leader")
+	}
+	return nil
+}
+
+// Set writes a key; a nil value deletes it. It is done when most nodes have it.
+func (s *Store) Set(ctx context.Context, key string, value json.RawMessage) error {
+	if s.raft.State() != raft.Leader {
+		return s.admin.forward(ctx, key, value)
+	}
+	return s.apply(command{Key: key, Value: value})
+}
+
+func (s *Store) apply(list ...command) error {
+	for _, c := range list {
+		if err := c.check(); err != nil {
+			return err
+		}
+	}
+	text, err := json.Marshal(list)
+	if err != nil {
+		return fmt.Errorf("encode commands: %w", err)
+	}
+	f := s.raft.Apply(text, applyTimeout)
+	if err := f.Error(); err != nil {
+		return fmt.Errorf("commit: %w", err)
+	}
+	if err, ok := f.Response().(error); ok {
+		return err
+	}
+	return nil
+}
+
+// leader is the admin address of the leader as this node knows it.
+func (s *Store) leader() (Peer, bool) {
+	_, id := s.raft.LeaderWithID()
+	for _, p := range s.cfg.Peers {
+		if p.Name == string(id) {
+			return p, true
+		}
+	}
+	return Peer{}, false
+}
--- /dev/null
+++ b/tests/store_test.go
@@ -0,0 +1,350 @@
+package tests
+
+import (
+	"bufio"
+	"bytes"
+	"database/sql"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	_ "modernc.org/sqlite"
+)
+
+// cluster is three services with a store.
+type cluster struct {
+	t     *testing.T
+	peers []object
+	dirs  []string
+	sql   object
+	nodes []*service
+}
+
+func newCluster(t *testing.T, sql object) *cluster {
+	c := &cluster{t: t, sql: sql, nodes: make([]*service, 3)}
+	for i := range 3 {
+		c.peers = append(c.peers, object{"name": fmt.Sprint("s", i), "raft": freePort(t), "admin": freePort(t)})
+		c.dirs = append(c.dirs, t.TempDir())
+	}
+	for i := range 3 {
+		c.start(i)
+	}
+	c.leader()
+	return c
+}
+
+func (c *cluster) start(i int) {
+	c.nodes[i] = start(c.t, func(cfg object) {
+		cfg["name"], cfg["engine"] = c.peers[i]["name"], newEngine(c.t).addr
+		cfg["store"] = object{"node": c.peers[i]["name"], "dir": c.dirs[i], "peers": c.peers, "sql": c.sql}
+	})
+}
+
+func (c *cluster) kill(i int) {
+	c.nodes[i].cmd.Process.Kill()
+	<-c.nodes[i].exit
+}
+
+// http asks one node.
+func (c *cluster) http(i int, method, path, body string) (int, string) {
+	req, err := http.NewRequest(method, "http://"+c.peers[i]["admin"].(string)+path, bytes.NewReader([]byte(body)))
+	require.NoError(c.t, err)
+	res, err := (&http.Client{Timeout: patience}).Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	text, _ := io.ReadAll(res.Body)
+	return res.StatusCode, strings.TrimSpace(string(text))
+}
+
+// leader waits for one that a running node knows, and for it to say so itself.
+func (c *cluster) leader() (leader int) {
+	await(c.t, "a leader", func() bool {
+		for i := range c.peers {
+			var st struct{ State string }
+			_, text := c.http(i, "GET", "/status", "")
+			if json.Unmarshal([]byte(text), &st) == nil && st.State == "Leader" {
+				leader = i
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+func (c *cluster) put(i int, key, value string) {
+	await(c.t, "a write", func() bool {
+		code, _ := c.http(i, "PUT", "/store/"+key, value)
+		return code == 204
+	})
+}
+
+func (c *cluster) has(i int, key, value string) {
+	c.t.Helper()
+	await(c.t, fmt.Sprintf("%s=%s on node %d", key, value, i), func() bool {
+		code, text := c.http(i, "GET", "/store/"+key, "")
+		return code == 200 && text == value
+	})
+}
+
+// TestStore: writes at any node, the loss of the leader, a member that lags, a
+// restart of all, and settings that come from the store.
+func TestStore(t *testing.T) {
+	t.Parallel()
+	path := filepath.Join(t.TempDir(), "record.db")
+	c := newCluster(t, object{"driver": "sqlite", "dsn": "file:" + path + "?_pragma=busy_timeout(5000)"})
+	for i := range 3 {
+		c.put(i, fmt.Sprint("note/", i), `"from here"`)
+		c.has(i, fmt.Sprint("state/s", i), statePattern(c, i))
+	}
+	for i := range 3 {
+		c.has(i, "note/2", `"from here"`)
+	}
+	code, text := c.http(0, "PUT", "/store/note/x", "{")
+	assert.Equal(t, 400, code, text)
+	lost := c.leader()
+	c.kill(lost)
+	next := c.leader()
+	require.NotEqual(t, lost, next)
+	c.put(next, "note/while", `"away"`)
+	code, _ = c.http(next, "DELETE", "/store/note/0", "")
+	assert.Equal(t, 204, code)
+	c.start(lost)
+	c.has(lost, "note/while", `"away"`) // what it missed
+	await(t, "a deletion", func() bool { code, _ := c.http(lost, "GET", "/store/note/0", ""); return code == 404 })
+	set := settings()
+	set["classes"] = []object{{"name": "only-class", "effect": "idempotent", "value": 1, "aim_ns": 1e9, "deadline_ns": 2e9}}
+	text2, err := json.Marshal(set)
+	require.NoError(t, err)
+	c.put(0, "config/settings", string(text2))
+	for i := range 3 {
+		c.kill(i)
+	}
+	for i := range 3 {
+		c.start(i)
+	}
+	for i := range 3 {
+		c.has(i, "note/while", `"away"`)
+		c.nodes[i].ready()
+		w := &world{service: c.nodes[i]}
+		assert.Equal(t, []int{200, 400}, []int{w.status("only-class", "ok"), w.status("nom-submit", "ok")})
+	}
+	db, err := sql.Open("sqlite", "file:"+path+"?mode=ro&_pragma=busy_timeout(5000)")
+	require.NoError(t, err)
+	defer db.Close()
+	await(t, "the store of record", func() bool {
+		var n, gone int
+		err := db.QueryRow(`SELECT count(value), count(*) - count(value) FROM oxbowbridge_store WHERE name LIKE 'note/%'`).Scan(&n, &gone)
+		return err == nil && n == 3 && gone == 1
+	})
+	for i := range 3 {
+		c.nodes[i].drain()
+	}
+	for i := range 3 { // all disks are lost: the store of record has it
+		c.dirs[i] = t.TempDir()
+		c.start(i)
+	}
+	c.has(1, "note/while", `"away"`)
+}
+
+// statePattern is what the node itself has put down as its state.
+func statePattern(c *cluster, i int) (text string) {
+	await(c.t, "its state", func() bool {
+		var code int
+		code, text = c.http(i, "GET", fmt.Sprint("/store/state/s", i), "")
+		return code == 200
+	})
+	require.Contains(c.t, text, `"state":"open"`)
+	return text
+}
+
+// TestStoreOfRecordAway: the store goes on without its PostgreSQL, and catches up.
+func TestStoreOfRecordAway(t *testing.T) {
+	t.Parallel()
+	addr := freePort(t)
+	c := newCluster(t, object{"driver": "postgres", "dsn": "postgres://operator@" + addr + "/records?sslmode=disable"})
+	c.put(0, "note/early", `{"n":1}`)
+	lead := c.nodes[c.leader()]
+	await(t, "a line", func() bool { return strings.Contains(lead.log(), "store of record away") })
+	pg := newPostgres(t, addr)
+	c.put(1, "note/later", `2`)
+	await(t, "both rows", func() bool { return pg.get("note/early") == `{"n":1}` && pg.get("note/later") == "2" })
+	await(t, "a line", func() bool { return strings.Contains(lead.log(), "store of record back") })
+	for i := range 3 {
+		c.kill(i)
+		c.dirs[i] = t.TempDir()
+	}
+	for i := range 3 {
+		c.start(i)
+	}
+	c.has(2, "note/early", `{"n":1}`) // taken over from PostgreSQL
+	c.put(2, "note/early", `3`)
+	await(t, "the new row", func() bool { return pg.get("note/early") == "3" })
+}
+
+// postgres stands in for a PostgreSQL server: version 3 of its protocol, and
+// the store's own statements.
+type postgres struct {
+	mu   sync.Mutex
+	rows map[string][2]any // value (nil or string) and index
+}
+
+func newPostgres(t *testing.T, addr string) *postgres {
+	p := &postgres{rows: map[string][2]any{}}
+	ln, err := net.Listen("tcp", addr)
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(c)
+		}
+	}()
+	return p
+}
+
+func (p *postgres) get(key string) any {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rows[key][0]
+}
+
+func (p *postgres) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	send := func(kind byte, content ...byte) {
+		b := binary.BigEndian.AppendUint32([]byte{kind}, uint32(len(content)+4))
+		c.Write(append(b, content...))
+	}
+	read := func() []byte {
+		n := make([]byte, 4)
+		if _, err := io.ReadFull(r, n); err != nil {
+			return nil
+		}
+		b := make([]byte, binary.BigEndian.Uint32(n)-4)
+		io.ReadFull(r, b)
+		return b
+	}
+	read() // startup
+	send('R', 0, 0, 0, 0)
+	send('S', []byte("client_encoding\x00UTF8\x00")...)
+	send('S', []byte("standard_conforming_strings\x00on\x00")...)
+	send('K', 0, 0, 0, 1, 0, 0, 0, 1)
+	send('Z', 'I')
+	queries, query := map[string]string{}, ""
+	var args [][]byte
+	for {
+		kind, err := r.ReadByte()
+		if err != nil {
+			return
+		}
+		b := read()
+		switch kind {
+		case 'Q':
+			if strings.HasPrefix(string(b), "--") {
+				send('I')
+			} else {
+				send('C', []byte("OK\x00")...)
+			}
+			send('Z', map[bool]byte{true: 'T', false: 'I'}[strings.HasPrefix(string(b), "begin")])
+		case 'P':
+			parts := bytes.SplitN(b, []byte{0}, 3)
+			queries[string(parts[0])] = string(parts[1])
+			send('1')
+		case 'D':
+			p.describe(queries[string(b[1:len(b)-1])], b[0] == 'S', send)
+		case 'B':
+			query, args = bind(b, queries)
+			send('2')
+		case 'E':
+			p.execute(query, args, send)
+		case 'C':
+			send('3')
+		case 'S':
+			send('Z', 'T')
+		case 'X':
+			return
+		}
+	}
+}
+
+func (p *postgres) describe(query string, statement bool, send func(byte, ...byte)) {
+	if statement {
+		b := []byte{0, byte(strings.Count(query, "$"))}
+		for i := range b[1] {
+			b = binary.BigEndian.AppendUint32(b, []uint32{25, 25, 20}[i])
+		}
+		send('t', b...)
+	}
+	if !strings.HasPrefix(query, "SELECT") {
+		send('n')
+		return
+	}
+	b := []byte{0, 3}
+	for i, name := range []string{"name", "value", "idx"} {
+		b = append(append(b, name...), 0, 0, 0, 0, 0, 0, 0)
+		b = binary.BigEndian.AppendUint32(b, []uint32{25, 25, 20}[i])
+		b = append(b, 0, 8, 0, 0, 0, 0, 0, 0)
+	}
+	send('T', b...)
+}
+
+// bind reads the statement's name and the arguments.
+func bind(b []byte, queries map[string]string) (string, [][]byte) {
+	parts := bytes.SplitN(b, []byte{0}, 3)
+	b = parts[2]
+	b = b[2+2*binary.BigEndian.Uint16(b):] // formats
+	n := binary.BigEndian.Uint16(b)
+	b = b[2:]
+	var args [][]byte
+	for range n {
+		size := int32(binary.BigEndian.Uint32(b))
+		b = b[4:]
+		if size < 0 {
+			args = append(args, nil)
+			continue
+		}
+		args = append(args, b[:size])
+		b = b[size:]
+	}
+	return queries[string(parts[1])], args
+}
+
+func (p *postgres) execute(query string, args [][]byte, send func(byte, ...byte)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case strings.HasPrefix(query, "INSERT"):
+		index := int64(binary.BigEndian.Uint64(args[2]))
+		if old, ok := p.rows[string(args[0])]; !ok || old[1].(int64) <= index {
+			p.rows[string(args[0])] = [2]any{string(args[1]), index}
+		}
+	case strings.HasPrefix(query, "UPDATE"):
+		for key, row := range p.rows {
+			p.rows[key] = [2]any{row[0], int64(0)}
+		}
+	case strings.HasPrefix(query, "SELECT"):
+		for key, row := range p.rows {
+			b := []byte{0, 3}
+			for _, v := range [][]byte{[]byte(key), []byte(row[0].(string)), binary.BigEndian.AppendUint64(nil, uint64(row[1].(int64)))} {
+				b = append(binary.BigEndian.AppendUint32(b, uint32(len(v))), v...)
+			}
+			send('D', b...)
+		}
+	}
+	send('C', []byte("OK\x00")...)
+}
