--- a/rules/rules.go
+++ b/rules/rules.go
@@ -196,17 +196,16 @@
 // ---- Estimator: arrivals by doubling episodes (section 4, proposition 7.1) ----
 
 type estimator struct {
-	episode int           // k
-	started time.Duration // of the episode
-	length  time.Duration // tk
-	tau     int           // arrivals in the episode
-	gap     float64       // 1/Λ̂, the truncated running mean of equation 10
-	last    time.Duration // latest arrival
-	counts  []float64     // arrivals by class since the start
-	total   float64
-	least   float64 // Λmin
-	most    float64 // Λmax
-	logConf float64 // log 1/δk
+	episode     int           // k
+	started     time.Duration // of the episode
+	length      time.Duration // tk
+	tau         int           // arrivals in the episode
+	gap         float64       // 1/Λ̂, the truncated running mean of equation 10
+	last        time.Duration // latest arrival
+	counts      []float64     // arrivals by class since the start
+	total       float64
+	least, most float64 // Λmin, Λmax
+	logConf     float64 // log 1/δk
 }
 
 // begin starts an episode: the gap's mean is reset, δk = 1/(μ·tk).
@@ -421,7 +420,7 @@
 	c.forget(r)
 	r.answered = true
 	vain := c.set.Depth > 0 || c.refused > refusedVain
-	c.do(Refuse{ID: r.id, RetryIn: c.advice(), Terminal: !c.draining && vain})
+	c.do(Refuse{ID: r.id, RetryIn: c.advice(r.class), Terminal: !c.draining && vain})
 	c.move(r, over)
 }
 
@@ -447,12 +446,16 @@
 	}
 }
 
-func (c *Controller) advice() time.Duration {
+// advice is when to come back: once the runs that keep the class out have ended.
+func (c *Controller) advice(class int) time.Duration {
 	if c.draining {
 		return c.set.AdviceMax
 	}
-	excess := c.rate()/c.capacity() - 1
-	return min(c.set.AdviceMax, time.Duration(math.Max(0, excess)*float64(advicePer)))
+	wait := (c.rate()/c.capacity() - 1) * advicePer.Seconds()
+	if c.est.episode > 1 { // before that μ is a guess
+		wait = math.Max(wait, float64(max(0, c.state()-c.plan.threshold(class))+1)/c.capacity())
+	}
+	return min(c.set.AdviceMax, time.Duration(math.Max(0, wait)*float64(time.Second)))
 }
 
 // forget drops the table entry of a request that never ran.
