--- /dev/null
+++ b/tests/examples_test.go
@@ -0,0 +1,107 @@
+package tests
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// fromFile starts the program on a configuration of the repository, with free
+// ports in place of its own, and the toy engine that it speaks to.
+func fromFile(t *testing.T, path string) (s *service, toy string) {
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	ports := map[string]string{}
+	text = regexp.MustCompile(`127\.0\.0\.1:\d+`).ReplaceAllFunc(text, func(old []byte) []byte {
+		if ports[string(old)] == "" {
+			ports[string(old)] = freePort(t)
+		}
+		return []byte(ports[string(old)])
+	})
+	var cfg object
+	require.NoError(t, json.Unmarshal(text, &cfg))
+	if store, ok := cfg["store"].(object); ok {
+		store["dir"] = t.TempDir()
+		store["sql"].(object)["dsn"] = "file:" + filepath.Join(t.TempDir(), "record.db")
+	}
+	toy = filepath.Join(t.TempDir(), "toy")
+	out, err := exec.Command("go", "build", "-o", toy, "../examples/toy").CombinedOutput()
+	require.NoError(t, err, string(out))
+	engine := exec.Command(toy, "-engine", cfg["engine"].(string))
+	require.NoError(t, engine.Start())
+	t.Cleanup(func() { engine.Process.Kill() })
+	s = start(t, func(c object) {
+		clear(c)
+		for k, v := range cfg {
+			c[k] = v
+		}
+	})
+	s.fcgi = cfg["listen"].(string)
+	if ajp, ok := cfg["ajp"].(object); ok {
+		s.ajp = ajp["listen"].(string)
+	}
+	s.ready()
+	return s, toy
+}
+
+// TestExample does what examples/README.md tells a newcomer to do.
+func TestExample(t *testing.T) {
+	t.Parallel()
+	s, toy := fromFile(t, "../examples/config.json")
+	out, err := exec.Command(toy, "-service", s.fcgi, "-call", "nom-submit", "200", "GJ").CombinedOutput()
+	require.NoError(t, err, string(out))
+	assert.Contains(t, string(out), "Status: 200")
+	assert.Contains(t, string(out), "nom-submit done: 200 GJ")
+	s.drain()
+}
+
+// TestOperatorFile: the file under deploy/ serves both fronts, also while the
+// other nodes of its store are away.
+func TestOperatorFile(t *testing.T) {
+	t.Parallel()
+	s, _ := fromFile(t, "../deploy/operator.json")
+	c, err := dialAJP(s.ajp)
+	require.NoError(t, err)
+	c.secret = "change-me"
+	a, err := c.do("/call/nom-submit", fieldsOf(newTrace()), []byte("200 GJ"))
+	require.NoError(t, err)
+	assert.Equal(t, "nom-submit done: 200 GJ", a.body)
+	assert.Contains(t, s.log(), "store has no leader yet")
+	s.drain()
+}
+
+// TestCallerGone: where the site says so, a request that its caller takes back
+// is stopped, in both protocols.
+func TestCallerGone(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, func(cfg object) { cfg["settings"].(object)["family_info"].(object)["tells_gone"] = true })
+	c, err := dialFCGI(w.fcgi)
+	require.NoError(t, err)
+	first, second := newTrace(), newTrace()
+	_, err = c.Write(fcgiRequest(1, "/call/balance-view", fieldsOf(first), []byte("hold")))
+	require.NoError(t, err)
+	d, err := dialAJP(w.ajp)
+	require.NoError(t, err)
+	_, err = d.Write(append(ajpForward("/call/nom-submit", "s3", fieldsOf(second), 4), ajpChunk([]byte("hold"))...))
+	require.NoError(t, err)
+	await(t, "two runs", func() bool { return w.engine.held() == 2 })
+	_, err = c.Write(fcgiRecord(2, 1, nil)) // ABORT_REQUEST
+	require.NoError(t, err)
+	id, _, _, err := c.read()
+	require.NoError(t, err)
+	assert.EqualValues(t, 1, id)
+	d.Close()
+	await(t, "both to be stopped", func() bool {
+		return w.engine.heardOf("HALT "+first) == 1 && w.engine.heardOf("HALT "+second) == 1
+	})
+	w.engine.mu.Lock()
+	w.engine.holds = nil
+	w.engine.mu.Unlock()
+	w.drain()
+}
