Links share their environment and line reader; TestArrival asserts an order, no speed

Noted: a request stamped past its due time on an idle server is still run by the module and failed at once if the run is not over; the module's own rule for learning.

--- a/cmd/oxbowbridge/main.go
+++ b/cmd/oxbowbridge/main.go
@@ -25,6 +25,7 @@
 	"oxbowbridge/internal/engine"
 	"oxbowbridge/internal/exchange"
 	"oxbowbridge/internal/fastcgi"
+	"oxbowbridge/internal/link"
 	"oxbowbridge/internal/records"
 	"oxbowbridge/internal/socket"
 )
@@ -93,13 +94,14 @@
 	}
 	p := core.Parts{Exchange: x, Deadlines: &deadline.Set{}, Log: log, Seed: seed, Settings: &cfg.Settings,
 		Now: func() time.Duration { return time.Since(began) }}
-	runner := runnerOf(cfg, p, loop)
+	env := link.Env{Exchange: x, Loop: loop, Due: p.Deadlines, Now: p.Now, Log: log}
+	runner := runnerOf(cfg, env)
 	p.Runner = runner
 	if cfg.Records != "" {
-		p.Calls = records.New(cfg.Records, x, loop, p.Deadlines, p.Now, log)
+		p.Calls = records.New(cfg.Records, env)
 	}
 	if cfg.Lookup != "" {
-		p.Directory = directory.New(cfg.Lookup, cfg.Name, x, loop, p.Deadlines, p.Now, log)
+		p.Directory = directory.New(cfg.Lookup, cfg.Name, env)
 	}
 	fronts := frontsOf(cfg, x, classes, log)
 	for _, f := range fronts {
@@ -125,13 +127,12 @@
 	Open()
 }
 
-func runnerOf(cfg *config, p core.Parts, loop *socket.Loop) runner {
+func runnerOf(cfg *config, env link.Env) runner {
 	if len(cfg.AJP.Upstreams) > 0 {
 		info := &cfg.Settings.Info
-		return ajp.NewUpstreams(cfg.AJP.Upstreams, cfg.AJP.UpstreamSecret, info.Cores, info.OwnStats,
-			p.Exchange, loop, p.Deadlines, p.Now, p.Log)
+		return ajp.NewUpstreams(cfg.AJP.Upstreams, cfg.AJP.UpstreamSecret, info.Cores, info.OwnStats, env)
 	}
-	return engine.New(cfg.Engine, p.Exchange, loop, p.Deadlines, p.Now, p.Log)
+	return engine.New(cfg.Engine, env)
 }
 
 // listener is a front before it listens.
--- a/internal/ajp/upstream.go
+++ b/internal/ajp/upstream.go
@@ -10,11 +10,11 @@
 
 	"oxbowbridge/internal/deadline"
 	"oxbowbridge/internal/exchange"
+	"oxbowbridge/internal/link"
 	"oxbowbridge/internal/socket"
 )
 
 const (
-	dialTimeout  = time.Second
 	pongTimeout  = time.Second
 	upIdleMost   = 10 * time.Second // an unused connection is kept so long
 	probeEvery   = 500 * time.Millisecond
@@ -31,15 +31,11 @@
 // a time on a connection. All of it runs in the core's goroutine, but for the
 // parsing of what arrives.
 type Upstreams struct {
+	link.Env
 	addrs  []string
 	secret string
 	gauges []string // names, in the order in which they are reported
 	cores  int
-	x      *exchange.Exchange
-	loop   *socket.Loop
-	due    *deadline.Set
-	now    func() time.Duration
-	log    *zap.Logger
 	next   int // address that the next new connection goes to
 	free   []*upConn
 	runs   map[string]*upRun
@@ -73,10 +69,8 @@
 }
 
 // NewUpstreams returns a runner that isn't connected.
-func NewUpstreams(addrs []string, secret string, cores int, gauges []string, x *exchange.Exchange, loop *socket.Loop,
-	due *deadline.Set, now func() time.Duration, log *zap.Logger) *Upstreams {
-	return &Upstreams{addrs: addrs, secret: secret, cores: cores, gauges: gauges, x: x, loop: loop, due: due, now: now,
-		log: log, runs: map[string]*upRun{}}
+func NewUpstreams(addrs []string, secret string, cores int, gauges []string, env link.Env) *Upstreams {
+	return &Upstreams{Env: env, addrs: addrs, secret: secret, cores: cores, gauges: gauges, runs: map[string]*upRun{}}
 }
 
 // Open looks for an upstream until one answers; then the service is ready.
@@ -84,13 +78,13 @@
 	if u.ready {
 		return
 	}
-	u.dial(nil)
-	u.due.At(u.now()+probeEvery, u.Open)
+	u.connect(nil)
+	u.Due.At(u.Now()+probeEvery, u.Open)
 }
 
 // Run has a run done.
 func (u *Upstreams) Run(a exchange.Attempt) {
-	r := &upRun{Attempt: a, began: u.now()}
+	r := &upRun{Attempt: a, began: u.Now()}
 	u.runs[a.Trace] = r
 	u.place(r)
 }
@@ -104,28 +98,24 @@
 		c.ask() // guards against a connection that was closed while it was free
 		return
 	}
-	u.dial(r)
+	u.connect(r)
 }
 
-func (u *Upstreams) dial(r *upRun) {
+func (u *Upstreams) connect(r *upRun) {
 	addr := u.addrs[u.next%len(u.addrs)]
 	u.next++
 	c := &upConn{up: u, parser: parser{magic: toWeb}, run: r}
 	if r != nil {
 		r.conn = c
 	}
-	u.loop.Dial("tcp", addr, dialTimeout, func(s *socket.Conn) socket.Handler {
-		c.sock = s
-		return c
-	}, func(_ *socket.Conn, err error) {
-		u.x.Post(exchange.Step(func() { c.opened(addr, err) }))
-	})
+	u.Dial("tcp", addr, c, func(sock *socket.Conn, err error) { c.opened(addr, sock, err) })
 }
 
-func (c *upConn) opened(addr string, err error) {
+func (c *upConn) opened(addr string, sock *socket.Conn, err error) {
+	c.sock = sock
 	switch {
 	case err != nil:
-		c.up.log.Warn("upstream not reached", zap.String("address", addr), zap.Error(err))
+		c.up.Log.Warn("upstream not reached", zap.String("address", addr), zap.Error(err))
 		c.lost(err)
 	case c.closed: // stopped meanwhile
 		c.sock.Abandon()
@@ -138,10 +128,10 @@
 
 // ask makes sure that the upstream is there before anything is sent.
 func (c *upConn) ask() {
-	c.up.due.Cancel(c.timer)
+	c.up.Due.Cancel(c.timer)
 	c.asked = true
 	c.sock.Write(packet(toServer, []byte{codeCPing}))
-	c.timer = c.up.due.At(c.up.now()+pongTimeout, func() { c.lost(errLost) })
+	c.timer = c.up.Due.At(c.up.Now()+pongTimeout, func() { c.lost(errLost) })
 }
 
 func (c *upConn) send() {
@@ -189,12 +179,12 @@
 		}
 		g = append(g, v)
 	}
-	u.x.Post(g)
+	u.Exchange.Post(g)
 }
 
 func (u *Upstreams) end(r *upRun, end exchange.End, result []byte) {
 	delete(u.runs, r.Trace)
-	u.x.Post(exchange.Outcome{Trace: r.Trace, Stage: exchange.Ran, End: end, Took: u.now() - r.began, Body: result})
+	u.Exchange.Post(exchange.Outcome{Trace: r.Trace, Stage: exchange.Ran, End: end, Took: u.Now() - r.began, Body: result})
 }
 
 // lost ends a connection, and what ran on it unless it may be tried once more.
@@ -204,7 +194,7 @@
 	}
 	c.closed = true
 	u := c.up
-	u.due.Cancel(c.timer)
+	u.Due.Cancel(c.timer)
 	for i, f := range u.free {
 		if f == c {
 			u.free = append(u.free[:i], u.free[i+1:]...)
@@ -228,7 +218,7 @@
 		u.place(r)
 		return
 	}
-	u.log.Warn("run failed", zap.String("trace", r.Trace), zap.Error(err))
+	u.Log.Warn("run failed", zap.String("trace", r.Trace), zap.Error(err))
 	u.end(r, exchange.Error, nil)
 }
 
@@ -239,9 +229,9 @@
 	}
 	err := c.parser.feed(b, func(content []byte) error {
 		own := append([]byte(nil), content...)
-		c.up.x.Post(exchange.Step(func() {
+		c.up.Exchange.Post(exchange.Step(func() {
 			if err := c.packet(own); err != nil && !c.closed {
-				c.up.log.Warn("malformed AJP of an upstream", zap.Error(err))
+				c.up.Log.Warn("malformed AJP of an upstream", zap.Error(err))
 				c.lost(err)
 			}
 		}))
@@ -255,7 +245,7 @@
 
 // Closed is called when the connection is lost.
 func (c *upConn) Closed(err error) {
-	c.up.x.Post(exchange.Step(func() { c.lost(errors.Join(errLost, err)) }))
+	c.up.Exchange.Post(exchange.Step(func() { c.lost(errors.Join(errLost, err)) }))
 }
 
 func (c *upConn) packet(content []byte) error {
@@ -290,11 +280,11 @@
 
 func (c *upConn) pong() {
 	c.asked = false
-	c.up.due.Cancel(c.timer)
+	c.up.Due.Cancel(c.timer)
 	if !c.up.ready {
 		c.up.ready = true
-		c.up.log.Info("upstream up")
-		c.up.x.Post(exchange.Ready{})
+		c.up.Log.Info("upstream up")
+		c.up.Exchange.Post(exchange.Ready{})
 	}
 	if c.run != nil {
 		c.send()
@@ -306,7 +296,7 @@
 // rest keeps the connection for the next run.
 func (c *upConn) rest() {
 	c.up.free = append(c.up.free, c)
-	c.timer = c.up.due.At(c.up.now()+upIdleMost, func() { c.lost(nil) })
+	c.timer = c.up.Due.At(c.up.Now()+upIdleMost, func() { c.lost(nil) })
 }
 
 func (c *upConn) finished(reuse bool) {
@@ -315,7 +305,7 @@
 	end := exchange.OK
 	if status != 200 {
 		end = exchange.Error
-		c.up.log.Warn("upstream failed a run", zap.String("trace", r.Trace), zap.Int("status", status))
+		c.up.Log.Warn("upstream failed a run", zap.String("trace", r.Trace), zap.Int("status", status))
 	}
 	c.up.end(r, end, result)
 	if reuse {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -8,6 +8,7 @@
 
 	"oxbowbridge/internal/deadline"
 	"oxbowbridge/internal/exchange"
+	"oxbowbridge/internal/link"
 	"oxbowbridge/internal/socket"
 )
 
@@ -16,21 +17,17 @@
 
 // Link sends the reports.
 type Link struct {
+	link.Env
 	addr string
 	name string
-	x    *exchange.Exchange
-	loop *socket.Loop
-	due  *deadline.Set
-	now  func() time.Duration
-	log  *zap.Logger
 	conn *socket.Conn
 	next *deadline.Entry
 	shut bool
 }
 
 // New returns a Link that reports nothing yet.
-func New(addr, name string, x *exchange.Exchange, loop *socket.Loop, due *deadline.Set, now func() time.Duration, log *zap.Logger) *Link {
-	return &Link{addr: addr, name: name, x: x, loop: loop, due: due, now: now, log: log}
+func New(addr, name string, env link.Env) *Link {
+	return &Link{Env: env, addr: addr, name: name}
 }
 
 // Open reports this service as open from now on.
@@ -38,30 +35,28 @@
 	if l.shut {
 		return
 	}
-	l.next = l.due.At(l.now()+pulseEvery, l.Open)
+	l.next = l.Due.At(l.Now()+pulseEvery, l.Open)
 	if l.conn != nil {
 		l.pulse("open")
 		return
 	}
-	l.loop.Dial("udp", l.addr, time.Second, func(*socket.Conn) socket.Handler { return l }, func(c *socket.Conn, err error) {
-		l.x.Post(exchange.Step(func() {
-			switch {
-			case err != nil:
-				l.log.Warn("directory not reached", zap.Error(err))
-			case l.conn != nil || l.shut:
-				c.Abandon()
-			default:
-				l.conn = c
-				l.pulse("open")
-			}
-		}))
+	l.Dial("udp", l.addr, l, func(c *socket.Conn, err error) {
+		switch {
+		case err != nil:
+			l.Log.Warn("directory not reached", zap.Error(err))
+		case l.conn != nil || l.shut:
+			c.Abandon()
+		default:
+			l.conn = c
+			l.pulse("open")
+		}
 	})
 }
 
 // Shut reports this service as closed, and nothing after that: its entry lapses.
 func (l *Link) Shut() {
 	l.shut = true
-	l.due.Cancel(l.next)
+	l.Due.Cancel(l.next)
 	if l.conn != nil {
 		l.pulse("closed")
 	}
@@ -74,5 +69,5 @@
 
 // Closed has the next report open a new socket: the directory was away.
 func (l *Link) Closed(error) {
-	l.x.Post(exchange.Step(func() { l.conn = nil }))
+	l.Exchange.Post(exchange.Step(func() { l.conn = nil }))
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -10,18 +10,17 @@
 
 	"go.uber.org/zap"
 
-	"oxbowbridge/internal/deadline"
 	"oxbowbridge/internal/exchange"
 	"oxbowbridge/internal/lines"
+	"oxbowbridge/internal/link"
 	"oxbowbridge/internal/socket"
 )
 
 const (
-	dialTimeout = time.Second
-	retryFirst  = 20 * time.Millisecond
-	retryMost   = 500 * time.Millisecond
-	syncTag     = "sync"
-	gaugeTag    = "gauges"
+	retryFirst = 20 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+	syncTag    = "sync"
+	gaugeTag   = "gauges"
 )
 
 // run is a run that was ordered and has not ended.
@@ -36,12 +35,8 @@
 
 // Link is the exchange.Runner that speaks to the engine.
 type Link struct {
+	link.Env
 	addr  string
-	x     *exchange.Exchange
-	loop  *socket.Loop
-	due   *deadline.Set
-	now   func() time.Duration
-	log   *zap.Logger
 	conn  *socket.Conn
 	epoch int // of the connection: what older ones report is skipped
 	up    bool
@@ -52,19 +47,17 @@
 }
 
 // New returns a Link that isn't connected.
-func New(addr string, x *exchange.Exchange, loop *socket.Loop, due *deadline.Set, now func() time.Duration, log *zap.Logger) *Link {
-	return &Link{addr: addr, x: x, loop: loop, due: due, now: now, log: log, retry: retryFirst, runs: map[string]*run{}}
+func New(addr string, env link.Env) *Link {
+	return &Link{Env: env, addr: addr, retry: retryFirst, runs: map[string]*run{}}
 }
 
 // Open connects, and connects again whenever the link is lost.
 func (l *Link) Open() {
 	l.epoch++
 	epoch := l.epoch
-	l.loop.Dial("tcp", l.addr, dialTimeout, func(*socket.Conn) socket.Handler {
-		return &reader{link: l, epoch: epoch, parser: lines.Parser{Long: long}}
-	}, func(c *socket.Conn, err error) {
-		l.x.Post(exchange.Step(func() { l.opened(epoch, c, err) }))
-	})
+	l.Dial("tcp", l.addr, &link.Lines{Env: l.Env, Parser: lines.Parser{Long: long}, Read: l.read, Lost: l.lost,
+		Live: func() bool { return epoch == l.epoch }},
+		func(c *socket.Conn, err error) { l.opened(epoch, c, err) })
 }
 
 func (l *Link) opened(epoch int, c *socket.Conn, err error) {
@@ -84,10 +77,10 @@
 
 // again connects once more, after a while that grows.
 func (l *Link) again(err error) {
-	l.log.Warn("engine link lost", zap.Error(err), zap.Duration("again_in", l.retry))
+	l.Log.Warn("engine link lost", zap.Error(err), zap.Duration("again_in", l.retry))
 	l.conn, l.up = nil, false
 	l.epoch++ // nothing of the lost link counts any more
-	l.due.At(l.now()+l.retry, l.Open)
+	l.Due.At(l.Now()+l.retry, l.Open)
 	l.retry = min(2*l.retry, retryMost)
 }
 
@@ -121,7 +114,7 @@
 	r.halted = true
 	if r.sent == 0 { // the engine never heard of it
 		delete(l.runs, trace)
-		l.x.Post(exchange.Outcome{Trace: trace, Stage: exchange.Ran, End: exchange.Stopped})
+		l.Exchange.Post(exchange.Outcome{Trace: trace, Stage: exchange.Ran, End: exchange.Stopped})
 		return
 	}
 	if l.up {
@@ -153,42 +146,13 @@
 	}
 }
 
-// reader parses one connection.
-type reader struct {
-	link   *Link
-	epoch  int
-	parser lines.Parser
-	bad    bool
-}
-
 func long(words []string) bool { return words[0] == "DONE" || words[0] == "NEED" }
 
-func (r *reader) Data(b []byte) {
-	if r.bad {
-		return
-	}
-	err := r.parser.Feed(b, func(m lines.Message) {
-		r.link.x.Post(exchange.Step(func() {
-			if r.epoch == r.link.epoch {
-				r.link.read(m)
-			}
-		}))
-	})
-	if err != nil {
-		r.bad = true
-		r.Closed(err)
+func (l *Link) lost(err error) {
+	if l.conn != nil {
+		l.conn.Abandon()
 	}
-}
-
-func (r *reader) Closed(err error) {
-	r.link.x.Post(exchange.Step(func() {
-		if r.epoch == r.link.epoch {
-			if c := r.link.conn; c != nil {
-				c.Abandon()
-			}
-			r.link.again(err)
-		}
-	}))
+	l.again(err)
 }
 
 // read handles one message of the engine.
@@ -216,7 +180,7 @@
 			if r := l.runs[w[2]]; r != nil {
 				r.seen, r.fed, r.feed = true, 0, nil
 			}
-			l.x.Post(exchange.Outcome{Trace: w[2], Stage: exchange.Needs, Body: m.Payload})
+			l.Exchange.Post(exchange.Outcome{Trace: w[2], Stage: exchange.Needs, Body: m.Payload})
 		case w[0] == "DONE" && len(w) == 6:
 			l.done(w, m.Payload)
 		case w[0] != "NOTE":
@@ -227,7 +191,7 @@
 	}
 }
 
-func (l *Link) odd(w []string) { l.log.Warn("engine line not understood", zap.Strings("words", w)) }
+func (l *Link) odd(w []string) { l.Log.Warn("engine line not understood", zap.Strings("words", w)) }
 
 func (l *Link) hello(w []string) {
 	ms, err := strconv.ParseInt(w[2], 10, 64)
@@ -244,8 +208,8 @@
 	l.write("STAT "+syncTag, nil, false)
 	if !l.ready {
 		l.ready = true
-		l.log.Info("engine up", zap.String("state", w[1]), zap.Int64("since_ms", ms))
-		l.x.Post(exchange.Ready{Cold: w[1] == "COLD", Since: time.Duration(ms) * time.Millisecond})
+		l.Log.Info("engine up", zap.String("state", w[1]), zap.Int64("since_ms", ms))
+		l.Exchange.Post(exchange.Ready{Cold: w[1] == "COLD", Since: time.Duration(ms) * time.Millisecond})
 	}
 }
 
@@ -263,7 +227,7 @@
 		}
 		values = append(values, x)
 	}
-	l.x.Post(values)
+	l.Exchange.Post(values)
 }
 
 // resend repeats the commands that an earlier link may have lost. It waits until
@@ -292,17 +256,17 @@
 		end = exchange.Error
 	}
 	delete(l.runs, w[2])
-	l.x.Post(exchange.Outcome{Trace: w[2], Stage: exchange.Ran, End: end,
+	l.Exchange.Post(exchange.Outcome{Trace: w[2], Stage: exchange.Ran, End: end,
 		Took: time.Duration(ms * float64(time.Millisecond)), Body: result})
 }
 
 // refused handles a command that was not carried out. A RUN that the engine
 // won't take never ends by itself.
 func (l *Link) refused(w []string) {
-	l.log.Warn("engine refused a command", zap.String("command", strings.Join(w[1:], " ")))
+	l.Log.Warn("engine refused a command", zap.String("command", strings.Join(w[1:], " ")))
 	if len(w) < 3 || w[1] != "RUN" || l.runs[w[2]] == nil {
 		return
 	}
 	delete(l.runs, w[2])
-	l.x.Post(exchange.Outcome{Trace: w[2], Stage: exchange.Ran, End: exchange.Error})
+	l.Exchange.Post(exchange.Outcome{Trace: w[2], Stage: exchange.Ran, End: exchange.Error})
 }
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -12,24 +12,18 @@
 	"oxbowbridge/internal/deadline"
 	"oxbowbridge/internal/exchange"
 	"oxbowbridge/internal/lines"
+	"oxbowbridge/internal/link"
 	"oxbowbridge/internal/socket"
 )
 
-const (
-	dialTimeout = time.Second
-	// The service closes what is idle for 10 s. The link does so earlier: a call
-	// that crosses the service's close would end with no proof of anything.
-	idleMost = 8 * time.Second
-)
+// The service closes what is idle for 10 s. The link does so earlier: a call
+// that crosses the service's close would end with no proof of anything.
+const idleMost = 8 * time.Second
 
 // Link is the exchange.Caller that speaks to the records service.
 type Link struct {
+	link.Env
 	addr    string
-	x       *exchange.Exchange
-	loop    *socket.Loop
-	due     *deadline.Set
-	now     func() time.Duration
-	log     *zap.Logger
 	conn    *socket.Conn
 	epoch   int  // of the connection: what older ones report is skipped
 	dialing bool // calls wait for the connection
@@ -39,13 +33,13 @@
 }
 
 // New returns a Link that connects with its first call.
-func New(addr string, x *exchange.Exchange, loop *socket.Loop, due *deadline.Set, now func() time.Duration, log *zap.Logger) *Link {
-	return &Link{addr: addr, x: x, loop: loop, due: due, now: now, log: log, calls: map[string]exchange.Attempt{}}
+func New(addr string, env link.Env) *Link {
+	return &Link{Env: env, addr: addr, calls: map[string]exchange.Attempt{}}
 }
 
 // Call makes a call; the Outcome comes from the exchange.
 func (l *Link) Call(a exchange.Attempt) {
-	l.due.Cancel(l.idle)
+	l.Due.Cancel(l.idle)
 	l.calls[a.Trace] = a
 	if l.conn != nil {
 		l.send(a)
@@ -53,7 +47,7 @@
 	}
 	l.waiting = append(l.waiting, a.Trace)
 	if !l.dialing {
-		l.dial()
+		l.connect()
 	}
 }
 
@@ -79,8 +73,8 @@
 	if len(l.calls) > 0 || l.conn == nil {
 		return
 	}
-	l.due.Cancel(l.idle)
-	l.idle = l.due.At(l.now()+idleMost, func() {
+	l.Due.Cancel(l.idle)
+	l.idle = l.Due.At(l.Now()+idleMost, func() {
 		if len(l.calls) == 0 && l.conn != nil {
 			l.conn.Close()
 			l.conn, l.epoch = nil, l.epoch+1
@@ -88,15 +82,13 @@
 	})
 }
 
-func (l *Link) dial() {
+func (l *Link) connect() {
 	l.dialing = true
 	l.epoch++
 	epoch := l.epoch
-	l.loop.Dial("tcp", l.addr, dialTimeout, func(*socket.Conn) socket.Handler {
-		return &reader{link: l, epoch: epoch, parser: lines.Parser{Long: long}}
-	}, func(c *socket.Conn, err error) {
-		l.x.Post(exchange.Step(func() { l.opened(epoch, c, err) }))
-	})
+	l.Dial("tcp", l.addr, &link.Lines{Env: l.Env, Parser: lines.Parser{Long: long}, Read: l.read, Lost: l.lost,
+		Live: func() bool { return epoch == l.epoch }},
+		func(c *socket.Conn, err error) { l.opened(epoch, c, err) })
 }
 
 func (l *Link) opened(epoch int, c *socket.Conn, err error) {
@@ -108,7 +100,7 @@
 	}
 	l.dialing = false
 	if err != nil {
-		l.log.Warn("records service not reached", zap.Error(err), zap.Int("calls", len(l.calls)))
+		l.Log.Warn("records service not reached", zap.Error(err), zap.Int("calls", len(l.calls)))
 		l.end(exchange.Unreachable) // nothing was ever sent
 		return
 	}
@@ -125,16 +117,16 @@
 // end settles all calls.
 func (l *Link) end(end exchange.End) {
 	for trace := range l.calls {
-		l.x.Post(exchange.Outcome{Trace: trace, Stage: exchange.Called, End: end})
+		l.Exchange.Post(exchange.Outcome{Trace: trace, Stage: exchange.Called, End: end})
 	}
 	clear(l.calls)
 	l.waiting = nil
 }
 
 func (l *Link) lost(err error) {
-	l.due.Cancel(l.idle)
+	l.Due.Cancel(l.idle)
 	if len(l.calls) > 0 {
-		l.log.Warn("records link lost", zap.Error(err), zap.Int("calls", len(l.calls)))
+		l.Log.Warn("records link lost", zap.Error(err), zap.Int("calls", len(l.calls)))
 	}
 	end := exchange.Broken
 	if l.conn == nil { // closed before a call was sent
@@ -146,41 +138,8 @@
 	l.end(end)
 }
 
-// reader parses one connection.
-type reader struct {
-	link   *Link
-	epoch  int
-	parser lines.Parser
-	bad    bool
-}
-
 func long(words []string) bool { return len(words) == 3 && words[1] == "DONE" }
 
-func (r *reader) Data(b []byte) {
-	if r.bad {
-		return
-	}
-	err := r.parser.Feed(b, func(m lines.Message) {
-		r.link.x.Post(exchange.Step(func() {
-			if r.epoch == r.link.epoch {
-				r.link.read(m)
-			}
-		}))
-	})
-	if err != nil {
-		r.bad = true
-		r.Closed(err)
-	}
-}
-
-func (r *reader) Closed(err error) {
-	r.link.x.Post(exchange.Step(func() {
-		if r.epoch == r.link.epoch {
-			r.link.lost(err)
-		}
-	}))
-}
-
 func (l *Link) read(m lines.Message) {
 	ends := map[string]exchange.End{"DONE": exchange.OK, "WAIT": exchange.NotBegun, "ERROR": exchange.Error,
 		"PAST": exchange.OutOfTime, "EMPTY": exchange.NotBegun}
@@ -189,7 +148,7 @@
 		end, ok = ends[m.Words[1]]
 	}
 	if !ok {
-		l.log.Warn("records line not understood", zap.Strings("words", m.Words))
+		l.Log.Warn("records line not understood", zap.Strings("words", m.Words))
 		return
 	}
 	trace := m.Words[0]
@@ -197,6 +156,6 @@
 		return // given up
 	}
 	delete(l.calls, trace)
-	l.x.Post(exchange.Outcome{Trace: trace, Stage: exchange.Called, End: end, Body: m.Payload})
+	l.Exchange.Post(exchange.Outcome{Trace: trace, Stage: exchange.Called, End: end, Body: m.Payload})
 	l.rest()
 }
--- a/tests/fronts_test.go
+++ b/tests/fronts_test.go
@@ -140,12 +140,17 @@
 	w := newWorld(t, nil)
 	c, err := dialFCGI(w.fcgi)
 	require.NoError(t, err)
-	fields, began := fieldsOf(newTrace()), time.Now()
-	fields["Accepted-At-Ms"] = strconv.FormatInt(began.Add(-1700*time.Millisecond).UnixMilli(), 10)
-	a, err := c.do("/call/cycle-check", fields, []byte("silence")) // 2 s in all
-	require.NoError(t, err)
-	assert.Equal(t, 500, a.status)
-	assert.Less(t, time.Since(began), 1500*time.Millisecond, "2 s counted from here")
+	for i, ago := range []time.Duration{-time.Minute, 0, 6 * time.Second, 11 * time.Second} { // of 12; ahead counts as now
+		fields := fieldsOf(newTrace())
+		fields["Accepted-At-Ms"] = strconv.FormatInt(time.Now().Add(-ago).UnixMilli(), 10)
+		_, err := c.Write(fcgiRequest(uint16(i+1), "/call/nom-submit", fields, []byte("silence")))
+		require.NoError(t, err)
+	}
+	for _, want := range []uint16{4, 3} { // read last, due first
+		id, a, _, err := c.read()
+		require.NoError(t, err)
+		assert.Equal(t, []int{int(want), 500}, []int{int(id), a.status})
+	}
 }
 
 // TestAJPCallers: pings, pieces of a body, secrets, and what is never a request.
