--- a/internal/store/state.go
+++ b/internal/store/state.go
@@ -41,7 +41,7 @@
 // entry is a key's value and the log index that set it. A deleted key keeps its
 // entry, so that the store of record hears of it.
 type entry struct {
-	Value json.RawMessage `json:"value"`
+	Value json.RawMessage `json:"value,omitempty"` // left out, or null would come back as a value
 	Index uint64          `json:"index"`
 	Gone  bool            `json:"gone"`
 }
--- /dev/null
+++ b/internal/store/state_test.go
@@ -0,0 +1,34 @@
+package store
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/hashicorp/raft"
+	"github.com/stretchr/testify/require"
+)
+
+// TestSnapshot: a member that lags behind the kept log gets a snapshot, with
+// deleted keys in it, and its watchers hear of what it holds.
+func TestSnapshot(t *testing.T) {
+	from := newState()
+	for i, c := range []string{`[{"key":"a","value":1},{"key":"b","value":{"x":2}}]`, `[{"key":"a","value":null}]`} {
+		require.Nil(t, from.Apply(&raft.Log{Index: uint64(i + 1), Data: []byte(c)}))
+	}
+	require.Error(t, from.Apply(&raft.Log{Index: 3, Data: []byte("{")}).(error))
+	snap, err := from.Snapshot()
+	require.NoError(t, err)
+	kept := raft.NewInmemSnapshotStore()
+	sink, err := kept.Create(raft.SnapshotVersionMax, 2, 1, raft.Configuration{}, 1, nil)
+	require.NoError(t, err)
+	require.NoError(t, snap.Persist(sink))
+	_, r, err := kept.Open(sink.ID())
+	require.NoError(t, err)
+	to, heard := newState(), map[string]string{}
+	to.watch(func(key string, v json.RawMessage) { heard[key] = string(v) })
+	require.NoError(t, to.Restore(r))
+	require.Equal(t, from.since(0), to.since(0))
+	require.Equal(t, map[string]string{"a": "", "b": `{"x":2}`}, heard)
+	_, ok := to.get("a")
+	require.False(t, ok)
+}
