Closing a listener first takes the connections that the system has accepted

Seen: reading the drain: a connection in the system's queue when the listener closes is reset under its request, which counts as lost. At fault: socket.go Listen, which only closed. TestCloseTakesQueue fails without it.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -136,28 +138,64 @@
 	return c, nil
 }
 
+// Listener takes connections until it is closed.
+type Listener struct {
+	net.Listener
+	take func(net.Conn)
+}
+
+// Close takes what the system has accepted by now, and no more. Connections that
+// were left in the system's queue would be reset under the requests on them.
+func (l *Listener) Close() error {
+	if tcp, ok := l.Listener.(*net.TCPListener); ok {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) { takeQueued(int(fd), l.take) })
+		}
+	}
+	return l.Listener.Close()
+}
+
+func takeQueued(listener int, take func(net.Conn)) {
+	for {
+		fd, _, err := syscall.Accept4(listener, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		if err != nil {
+			return // the queue is empty
+		}
+		f := os.NewFile(uintptr(fd), "accepted")
+		c, err := net.FileConn(f)
+		f.Close()
+		if err == nil {
+			take(c)
+		}
+	}
+}
+
 // Listen accepts connections on the address until the listener is closed.
-func (l *Loop) Listen(addr string, handle func(*Conn) Handler, failed func(error)) (net.Listener, error) {
+func (l *Loop) Listen(addr string, handle func(*Conn) Handler, failed func(error)) (*Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
+	take := func(raw net.Conn) {
+		if _, err := l.add(raw, handle); err != nil {
+			failed(err)
+		}
+	}
 	go func() {
 		for {
 			raw, err := ln.Accept()
-			if err == nil {
-				_, err = l.add(raw, handle)
-			}
-			if errors.Is(err, net.ErrClosed) {
+			switch {
+			case err == nil:
+				take(raw)
+			case errors.Is(err, net.ErrClosed):
 				return
-			}
-			if err != nil { // out of descriptors, mostly: don't spin on it
+			default: // out of descriptors, mostly: don't spin on it
 				failed(err)
 				time.Sleep(20 * time.Millisecond)
 			}
 		}
 	}()
-	return ln, nil
+	return &Listener{Listener: ln, take: take}, nil
 }
 
 // Dial connects in the background and reports to done.
