The module refuses what it reads past its due time, also when idle

Seen: a request stamped a minute ago was run by an idle service and failed at once; a nom-submit would have had its effect and been reported as failed. At fault: rules.go decide(), which lets an idle server take late requests so as to learn.

--- a/rules/advice_test.go
+++ b/rules/advice_test.go
@@ -39,3 +39,14 @@
 	}
 	t.Fatal("the held request ended without a refusal")
 }
+
+// TestPastDueNeverRuns: a request that is read after its due time is refused,
+// also by an idle server. Run, it would have its effect and be failed at once.
+func TestPastDueNeverRuns(t *testing.T) {
+	r := newRig(t, nil)
+	a := ask(1, 1)
+	a.TimeLeft, a.Waited = 0, 3*time.Second // of two
+	got := r.at(0, a)
+	require.Len(t, got, 1)
+	require.IsType(t, Refuse{}, got[0])
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -496,7 +496,7 @@
 	return c.worth[r.class] * r.share * (1 - erlangWait(s, c.limit, c.mu())/budget)
 }
 
-// decide answers, starts or holds a request that was just read.
+// decide answers, starts or holds a request that was just read. An idle server takes late ones, to learn.
 func (c *Controller) decide(r *request) {
 	k := &c.set.Classes[r.class]
 	if r.dupOf != 0 {
@@ -518,7 +518,7 @@
 	}
 	s, full := c.state(), !c.canRun() || c.n[held] > 0
 	c.waited = c.waited || full
-	late := c.reward(r, s) < 0 && (c.draining || s > 0 && c.refused > refusedVain) // idle: go on learning
+	late := c.reward(r, s) < 0 && (c.draining || c.now >= c.expiry(r) || s > 0 && c.refused > refusedVain)
 	if late || full && !c.yield() && (s >= len(c.plan.bias) || c.reward(r, s) < c.plan.bias[s]) {
 		c.refuse(r)
 		return
--- a/tests/fronts_test.go
+++ b/tests/fronts_test.go
@@ -18,10 +18,14 @@
 
 // call sends one request on a new connection of the front.
 func (w *world) call(class, body string) (answer, error) {
+	return w.fcgiDo("/call/"+class, fieldsOf(newTrace()), body)
+}
+
+func (w *world) fcgiDo(path string, fields map[string]string, body string) (answer, error) {
 	c, err := dialFCGI(w.fcgi)
 	require.NoError(w.t, err)
 	defer c.Close()
-	return c.do("/call/"+class, fieldsOf(newTrace()), []byte(body))
+	return c.do(path, fields, []byte(body))
 }
 
 func (w *world) status(class, body string) int {
@@ -146,6 +150,13 @@
 		_, err := c.Write(fcgiRequest(uint16(i+1), "/call/nom-submit", fields, []byte("silence")))
 		require.NoError(t, err)
 	}
+	await(t, "four runs", func() bool { return w.engine.heardOf("RUN") == 4 })
+	fields := fieldsOf(newTrace())
+	fields["Accepted-At-Ms"] = strconv.FormatInt(time.Now().Add(-time.Minute).UnixMilli(), 10)
+	past, err := w.fcgiDo("/call/nom-submit", fields, "ok")
+	require.NoError(t, err)
+	assert.Equal(t, 503, past.status, "past its due time: never run")
+	assert.Equal(t, 4, w.engine.heardOf("RUN"))
 	for _, want := range []uint16{4, 3} { // read last, due first
 		id, a, _, err := c.read()
 		require.NoError(t, err)
