--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -108,12 +108,14 @@
 		"limits":   object{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"settings": settings(), "ajp": object{"listen": s.ajp, "secret": "s3"}}
 	change(cfg)
+	name := fmt.Sprint(cfg["name"])
+	cfg["name"] = "in-the-file" // the environment's goes before it
 	text, err := json.Marshal(cfg)
 	require.NoError(t, err)
 	path := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(path, text, 0o600))
 	s.cmd = exec.Command(program)
-	s.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path)
+	s.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_NAME="+name)
 	s.cmd.Stderr = s
 	require.NoError(t, s.cmd.Start())
 	go func() { s.exit <- s.cmd.Wait() }()
--- a/tests/store_test.go
+++ b/tests/store_test.go
@@ -140,6 +140,13 @@
 		w := &world{service: c.nodes[i]}
 		assert.Equal(t, []int{200, 400}, []int{w.status("only-class", "ok"), w.status("nom-submit", "ok")})
 	}
+	c.put(0, "config/log_level", `"error"`)
+	await(t, "silence on warnings", func() bool {
+		lines := strings.Count(c.nodes[1].log(), "no such class")
+		(&world{service: c.nodes[1]}).status("nom-submit", "ok")
+		return lines > 0 && strings.Count(c.nodes[1].log(), "no such class") == lines
+	})
+	c.put(0, "config/log_level", `"info"`)
 	db, err := sql.Open("sqlite", "file:"+path+"?mode=ro&_pragma=busy_timeout(5000)")
 	require.NoError(t, err)
 	defer db.Close()
