Tests take ports below those of outgoing connections, each once

Seen: reading the tests for verdicts that could differ: a port that was free could go to an outgoing connection of a parallel test before the program listened on it. At fault: process_test.go freePort.

--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -70,12 +71,23 @@
 	}
 }
 
-// freePort is an address that nothing listens on.
+var portsGiven atomic.Uint32
+
+// freePort is an address that nothing listens on. It lies below the ports that
+// the system gives to outgoing connections, which could take it meanwhile, and is
+// given once.
 func freePort(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	const first, most = 20000, 12000
+	for range most {
+		n := portsGiven.Add(1) + uint32(os.Getpid())*97
+		addr := fmt.Sprintf("127.0.0.1:%d", first+n%most)
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			ln.Close()
+			return addr
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
 // service is the program under test.
