--- a/internal/ajp/front.go
+++ b/internal/ajp/front.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,21 +40,16 @@
 		front.Conn
 		socket.Handler
 	} {
-		return &conn{front: f, sock: s, parser: parser{magic: toServer}, used: time.Now()}
+		return &conn{front: f, Base: front.Base{Conn: s, Used: time.Now()}, parser: parser{magic: toServer}}
 	}, func(err error) { f.log.Warn("connection not taken", zap.Error(err)) })
 }
 
 // conn is one connection of a web server, which sends one request at a time.
 type conn struct {
 	front  *Front
-	sock   *socket.Conn
 	parser parser // of the loop's goroutine
-	bad    bool
-
-	mu   sync.Mutex
+	front.Base
 	call *call // from the first byte of a request to its answer
-	used time.Time
-	shut bool // closed by this side
 }
 
 // call is one request.
@@ -68,54 +62,41 @@
 	request *exchange.Request
 }
 
-func (c *conn) Sock() *socket.Conn { return c.sock }
-
 // CloseIdle closes the connection if no request is open and none was for long.
 func (c *conn) CloseIdle(now time.Time, idle time.Duration) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	lost := c.call != nil && !c.call.whole && now.Sub(c.used) > partMost // its caller hangs: never a request
-	if !lost && (c.call != nil || c.sock.Pending() > 0 || now.Sub(c.used) < idle) {
-		return false
+	c.Lock()
+	defer c.Unlock()
+	if k := c.call; k == nil || k.whole {
+		return k == nil && c.ShutIdle(now, idle)
 	}
-	if lost {
+	closed := c.ShutIdle(now, partMost) // its caller hangs: never a request
+	if closed {
 		c.front.log.Warn("body never came, connection closed")
 	}
-	c.shut = true // guards against a request that begins while this closes
-	c.sock.Close()
-	return true
+	return closed
 }
 
 // Data takes what came, in whatever pieces.
 func (c *conn) Data(b []byte) {
-	if c.bad {
-		return
-	}
-	if err := c.parser.feed(b, c.packet); err != nil {
-		// Guards against callers that don't speak AJP13, or out of turn: nothing
-		// after the fault can be trusted to be a packet.
-		c.bad = true
-		c.front.log.Warn("malformed AJP, connection closed", zap.Error(err))
-		c.sock.Abandon()
-	}
+	c.Parse(func() error { return c.parser.feed(b, c.packet) }, c.front.log, "malformed AJP, connection closed")
 }
 
 // Closed drops what was not read whole, which was never a request.
 func (c *conn) Closed(error) {
 	c.front.Remove(c)
-	c.mu.Lock()
+	c.Lock()
 	k := c.call
-	c.call, c.shut = nil, true
-	c.mu.Unlock()
+	c.call, c.Shut = nil, true
+	c.Unlock()
 	if k != nil && k.request != nil {
 		c.front.x.Post(exchange.Gone{Request: k.request})
 	}
 }
 
 func (c *conn) packet(content []byte) error {
-	c.mu.Lock()
-	k, shut := c.call, c.shut
-	c.mu.Unlock()
+	c.Lock()
+	k, shut := c.call, c.Shut
+	c.Unlock()
 	switch {
 	case shut:
 		return nil
@@ -124,7 +105,7 @@
 	case len(content) == 0:
 		return errors.New("empty packet where none is due")
 	case content[0] == codeCPing && k == nil:
-		c.sock.Write(packet(toWeb, []byte{codeCPong}))
+		c.Write(packet(toWeb, []byte{codeCPong}))
 		return nil
 	case content[0] == codeShutdown || content[0] == codePing:
 		return nil // the operators' signals stop the service, no caller does
@@ -142,9 +123,9 @@
 	k := &call{conn: c, fields: front.Fields{Path: f.path, Method: f.method, Get: func(name string) string {
 		return f.headers[strings.ToLower(name)]
 	}}}
-	c.mu.Lock()
-	c.call, c.used = k, time.Now()
-	c.mu.Unlock()
+	c.Lock()
+	c.call, c.Used = k, time.Now()
+	c.Unlock()
 	if subtle.ConstantTimeCompare([]byte(f.secret), []byte(c.front.secret)) != 1 {
 		c.fault(k, 403, errors.New("secret: wrong or missing"))
 		return nil
@@ -170,7 +151,7 @@
 
 // ask has the caller send the next piece of the body.
 func (c *conn) ask() {
-	c.sock.Write(packet(toWeb, binary.BigEndian.AppendUint16([]byte{codeGetBody}, chunkMost)))
+	c.Write(packet(toWeb, binary.BigEndian.AppendUint16([]byte{codeGetBody}, chunkMost)))
 }
 
 // chunk takes a piece of the body.
@@ -206,9 +187,9 @@
 
 // complete hands a request over: only now is it one.
 func (c *conn) complete(k *call) {
-	c.mu.Lock()
+	c.Lock()
 	k.whole = true
-	c.mu.Unlock()
+	c.Unlock()
 	if k.fields.Ping() {
 		c.reply(k, front.Health(c.front.x.Healthy()), true)
 		return
@@ -220,9 +201,9 @@
 		return
 	}
 	req.Body, req.From = k.body, k
-	c.mu.Lock()
+	c.Lock()
 	k.request = req
-	c.mu.Unlock()
+	c.Unlock()
 	if !c.front.x.Submit(req) {
 		c.front.log.Warn("request turned down: no room")
 		c.reply(k, front.Reply{Status: 503}, true)
@@ -242,14 +223,14 @@
 func (c *conn) reply(k *call, r front.Reply, reuse bool) {
 	headers := append([][2]string{{"Content-Type", "application/octet-stream"},
 		{"Content-Length", strconv.Itoa(len(r.Body))}}, r.Headers...)
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.Lock()
+	defer c.Unlock()
 	if c.call != k {
 		return
 	}
-	c.call, c.used = nil, time.Now()
-	c.sock.Write(appendResponse(nil, r.Status, headers, r.Body, reuse))
+	c.call, c.Used = nil, time.Now()
+	c.Write(appendResponse(nil, r.Status, headers, r.Body, reuse))
 	// A web server closes what it can't use again. Closing here could reset the
 	// connection under the answer, while the body is still on its way.
-	c.shut = c.shut || !reuse
+	c.Shut = c.Shut || !reuse
 }
--- a/internal/fastcgi/front.go
+++ b/internal/fastcgi/front.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"strings"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,22 +39,17 @@
 		front.Conn
 		socket.Handler
 	} {
-		return &conn{front: f, sock: s, calls: map[uint16]*call{}, used: time.Now()}
+		return &conn{front: f, Base: front.Base{Conn: s, Used: time.Now()}, calls: map[uint16]*call{}}
 	}, func(err error) { f.log.Warn("connection not taken", zap.Error(err)) })
 }
 
 // conn is one connection of a balancer.
 type conn struct {
 	front  *Front
-	sock   *socket.Conn
 	parser parser // of the loop's goroutine
-	bad    bool
-
-	mu    sync.Mutex
+	front.Base
 	calls map[uint16]*call
 	open  int // of them, not answered
-	used  time.Time
-	shut  bool // closed by this side
 }
 
 // call is one request. It is open until it is answered, and stays known until
@@ -73,38 +67,22 @@
 	request  *exchange.Request
 }
 
-func (c *conn) Sock() *socket.Conn { return c.sock }
-
 // CloseIdle closes the connection if no request is open and none was for long.
 func (c *conn) CloseIdle(now time.Time, idle time.Duration) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.open > 0 || c.sock.Pending() > 0 || now.Sub(c.used) < idle {
-		return false
-	}
-	c.shut = true // guards against a request that begins while this closes
-	c.sock.Close()
-	return true
+	c.Lock()
+	defer c.Unlock()
+	return c.open == 0 && c.ShutIdle(now, idle)
 }
 
 // Data takes what came, in whatever pieces.
 func (c *conn) Data(b []byte) {
-	if c.bad {
-		return
-	}
-	if err := c.parser.feed(b, c.record); err != nil {
-		// Guards against callers that don't speak FastCGI: nothing after the
-		// fault can be trusted to be a record.
-		c.bad = true
-		c.front.log.Warn("malformed FastCGI, connection closed", zap.Error(err))
-		c.sock.Abandon()
-	}
+	c.Parse(func() error { return c.parser.feed(b, c.record) }, c.front.log, "malformed FastCGI, connection closed")
 }
 
 // Closed drops what was not read whole, which was never a request.
 func (c *conn) Closed(error) {
 	c.front.Remove(c)
-	c.mu.Lock()
+	c.Lock()
 	var gone []*exchange.Request
 	for _, k := range c.calls {
 		if k.request != nil && !k.answered {
@@ -113,21 +91,21 @@
 		k.answered = true
 	}
 	clear(c.calls)
-	c.mu.Unlock()
+	c.Unlock()
 	for _, r := range gone {
 		c.front.x.Post(exchange.Gone{Request: r})
 	}
 }
 
 func (c *conn) record(r record) error {
-	c.mu.Lock()
+	c.Lock()
 	k := c.calls[r.id]
-	c.mu.Unlock()
+	c.Unlock()
 	switch {
 	case r.id == 0 && r.kind == typeGetValues:
 		return c.values(r.content)
 	case r.id == 0:
-		c.sock.Write(append(appendHeader(nil, typeUnknown, 0, 8), r.kind, 0, 0, 0, 0, 0, 0, 0))
+		c.Write(append(appendHeader(nil, typeUnknown, 0, 8), r.kind, 0, 0, 0, 0, 0, 0, 0))
 	case r.kind == typeBegin:
 		return c.begin(r, k)
 	case k == nil:
@@ -158,13 +136,13 @@
 		return fmt.Errorf("BEGIN_REQUEST of %d bytes", len(r.content))
 	}
 	role, keep := int(r.content[0])<<8|int(r.content[1]), r.content[2]&flagKeep != 0
-	c.mu.Lock()
-	if c.shut {
-		c.mu.Unlock()
+	c.Lock()
+	if c.Shut {
+		c.Unlock()
 		return nil
 	}
 	if k != nil && !k.answered {
-		c.mu.Unlock()
+		c.Unlock()
 		return fmt.Errorf("request %d begins twice", r.id)
 	}
 	full := c.open >= openMost
@@ -172,25 +150,25 @@
 		c.calls[r.id] = &call{conn: c, id: r.id, keep: keep}
 		c.open++
 	}
-	c.mu.Unlock()
+	c.Unlock()
 	switch {
 	case role != roleResponder:
-		c.sock.Write(appendEnd(nil, r.id, statusUnknownRole))
+		c.Write(appendEnd(nil, r.id, statusUnknownRole))
 	case full:
 		c.front.log.Warn("request turned down", zap.Error(errOpen))
-		c.sock.Write(appendEnd(nil, r.id, statusOverloaded))
+		c.Write(appendEnd(nil, r.id, statusOverloaded))
 	}
 	return nil
 }
 
 func (c *conn) stdin(k *call, content []byte) error {
-	c.mu.Lock()
+	c.Lock()
 	k.ended = len(content) == 0
 	done := k.answered // turned down before its input ended: the rest is skipped
 	if done && k.ended {
 		c.drop(k)
 	}
-	c.mu.Unlock()
+	c.Unlock()
 	switch {
 	case done:
 		return nil
@@ -220,9 +198,9 @@
 	}
 	k.params = nil
 	req.Body, req.From = k.body, k
-	c.mu.Lock()
+	c.Lock()
 	k.request = req
-	c.mu.Unlock()
+	c.Unlock()
 	if !c.front.x.Submit(req) {
 		c.front.log.Warn("request turned down: no room")
 		c.end(k, appendEnd(nil, k.id, statusOverloaded))
@@ -239,15 +217,15 @@
 
 // abort ends a request whose caller takes it back.
 func (c *conn) abort(k *call) {
-	c.mu.Lock()
+	c.Lock()
 	req := k.request
-	c.mu.Unlock()
+	c.Unlock()
 	if req != nil {
 		c.front.x.Post(exchange.Gone{Request: req})
 	}
-	c.mu.Lock()
+	c.Lock()
 	k.ended = true // no more input comes
-	c.mu.Unlock()
+	c.Unlock()
 	c.end(k, appendEnd(nil, k.id, statusComplete))
 }
 
@@ -260,7 +238,7 @@
 		}
 	})
 	if err == nil {
-		c.sock.Write(append(appendHeader(nil, typeValues, 0, len(b)), b...))
+		c.Write(append(appendHeader(nil, typeValues, 0, len(b)), b...))
 	}
 	return err
 }
@@ -279,20 +257,20 @@
 
 // end writes a request's last records, once.
 func (c *conn) end(k *call, b []byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.Lock()
+	defer c.Unlock()
 	if k.answered {
 		return
 	}
 	k.answered = true
 	c.open--
-	c.used = time.Now()
+	c.Used = time.Now()
 	if k.ended {
 		c.drop(k)
 	}
-	c.sock.Write(b)
+	c.Write(b)
 	if !k.keep {
-		c.sock.Close()
+		c.Close()
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"oxbowbridge/internal/exchange"
 	"oxbowbridge/internal/socket"
 )
@@ -125,7 +127,41 @@
 	// CloseIdle closes the connection if no request has been open on it for so
 	// long, and tells whether it did. No request begins on it after that.
 	CloseIdle(now time.Time, idle time.Duration) bool
-	Sock() *socket.Conn
+	Pending() int // bytes that wait to be sent
+}
+
+// Base is what a connection of any front keeps. Its lock guards the rest of the
+// connection too, but for what belongs to the loop's goroutine.
+type Base struct {
+	sync.Mutex
+	*socket.Conn
+	Used time.Time // when a request last began or ended
+	Shut bool      // by this side: no request begins any more
+	bad  bool      // of the loop's goroutine
+}
+
+// ShutIdle closes the connection if it has not been used for so long. The caller
+// holds the lock and has seen that no request is open.
+func (b *Base) ShutIdle(now time.Time, idle time.Duration) bool {
+	if b.Pending() > 0 || now.Sub(b.Used) < idle {
+		return false
+	}
+	b.Shut = true // guards against a request that begins while this closes
+	b.Close()
+	return true
+}
+
+// Parse feeds the connection's parser. Guards against callers that speak another
+// protocol, or out of turn: nothing after the fault can be trusted.
+func (b *Base) Parse(feed func() error, log *zap.Logger, fault string) {
+	if b.bad {
+		return
+	}
+	if err := feed(); err != nil {
+		b.bad = true
+		log.Warn(fault, zap.Error(err))
+		b.Abandon()
+	}
 }
 
 // Conns are the connections that a front has open, and its listener.
@@ -181,7 +217,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	for c := range s.conns {
-		unsent += c.Sock().Pending()
+		unsent += c.Pending()
 		if !c.CloseIdle(now, idle) {
 			left++
 		}
