Records calls on connections of their own; lost RUNs repeated once notices are read

Checked: all calls shared one connection (records.go, send/read). A line that was not understood was only logged, so that whatever followed a spoilt reply on the stream was read as other calls' replies, and one lost connection failed every call in hand. In engine.go, resend left out what was unsafe and unseen: its request stayed "running" in the module's books, a run of the limit c each, until its due time and beyond. Ruled out: the engine's own framing (the parser starts anew with each link, numbers are checked). Now a connection carries one call. What can't be read ends it; an idempotent call is sent again on a new one, also when the reply takes longer than replies do; any other call fails once, and never goes on a connection that was idle and may have been forgotten. RUN is repeated after ATTACH and all missed notices: a run that ended would be among them, for one that goes on nothing happens. Where notices are missing nothing is proven and only safe runs are repeated.

--- a/cmd/oxbowbridge/main.go
+++ b/cmd/oxbowbridge/main.go
@@ -34,6 +34,7 @@
 	memoryShare  = 0.6 // of memory_mb that Go's heap is told to stay under
 	requestKB    = 8   // what an open request takes here: body, result, bookkeeping
 	requestShare = 3   // a third of memory_mb may be open requests
+	callShare    = 8   // an eighth of the descriptors may be calls in hand
 )
 
 var errConfig = errors.New("configuration")
@@ -98,7 +99,7 @@
 	runner := runnerOf(cfg, env)
 	p.Runner = runner
 	if cfg.Records != "" {
-		p.Calls = records.New(cfg.Records, env)
+		p.Calls = records.New(cfg.Records, cfg.Limits.Sockets/callShare, env)
 	}
 	if cfg.Lookup != "" {
 		p.Directory = directory.New(cfg.Lookup, cfg.Name, env)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -430,7 +430,8 @@
 		expire = now + c.set.Classes[r.Class].Deadline
 	}
 	r.phase, r.called = calling, now
-	c.Calls.Call(exchange.Attempt{Trace: r.Trace, Wait: expire - now, Body: r.need})
+	safe := c.set.Classes[r.Class].Effect == rules.Idempotent
+	c.Calls.Call(exchange.Attempt{Trace: r.Trace, Safe: safe, Wait: expire - now, Body: r.need})
 	r.expire = c.Deadlines.At(expire+callSlack, func() { // guards against a service below that says nothing
 		c.Calls.GiveUp(r.Trace)
 		c.replied(r, exchange.Outcome{End: exchange.OutOfTime})
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"oxbowbridge/internal/deadline"
 	"oxbowbridge/internal/exchange"
 	"oxbowbridge/internal/lines"
 	"oxbowbridge/internal/link"
@@ -17,7 +18,7 @@
 )
 
 const (
-	retryFirst = 20 * time.Millisecond
+	retryFirst = time.Millisecond
 	retryMost  = 500 * time.Millisecond
 	syncTag    = "sync"
 	gaugeTag   = "gauges"
@@ -26,24 +27,28 @@
 // run is a run that was ordered and has not ended.
 type run struct {
 	attempt exchange.Attempt
-	sent    int  // epoch of the link that RUN went out on, 0 if on none
+	sent    int  // link that RUN went out on, 0 if on none
 	seen    bool // a notice told that it runs
 	halted  bool
 	feed    []byte
-	fed     int // epoch of the link that FEED went out on, -1 if on none yet, 0 if there is nothing to feed
+	fed     int // link that FEED went out on, -1 if on none yet, 0 if there is nothing to feed
 }
 
-// Link is the exchange.Runner that speaks to the engine.
+// Link is the exchange.Runner that speaks to the engine. Its connections are
+// numbered: what older ones than the present one report is skipped.
 type Link struct {
 	link.Env
-	addr  string
-	conn  *socket.Conn
-	epoch int // of the connection: what older ones report is skipped
-	up    bool
-	ready bool // said so once
-	last  uint64
-	retry time.Duration
-	runs  map[string]*run
+	addr    string
+	conn    *socket.Conn
+	present int // number of conn, 0 without one
+	dialed  int // number of the latest attempt
+	again   *deadline.Entry
+	up      bool
+	ready   bool // said so once
+	last    uint64
+	gap     bool // notices are missing before the first one on this link
+	retry   time.Duration
+	runs    map[string]*run
 }
 
 // New returns a Link that isn't connected.
@@ -51,36 +56,47 @@
 	return &Link{Env: env, addr: addr, retry: retryFirst, runs: map[string]*run{}}
 }
 
-// Open connects, and connects again whenever the link is lost.
+// Open connects, and connects again whenever the link is lost. A link that is
+// there goes on until the new one takes its place.
 func (l *Link) Open() {
-	l.epoch++
-	epoch := l.epoch
-	l.Dial("tcp", l.addr, &link.Lines{Env: l.Env, Parser: lines.Parser{Long: long}, Read: l.read, Lost: l.lost,
-		Live: func() bool { return epoch == l.epoch }},
-		func(c *socket.Conn, err error) { l.opened(epoch, c, err) })
+	l.Due.Cancel(l.again)
+	l.dialed++
+	n := l.dialed
+	l.Dial("tcp", l.addr, &link.Lines{Env: l.Env, Parser: lines.Parser{Long: long}, Read: l.read,
+		Lost: func(err error) { l.lost(n, err) },
+		Live: func() bool { return n == l.present || n == l.dialed }},
+		func(c *socket.Conn, err error) { l.opened(n, c, err) })
 }
 
-func (l *Link) opened(epoch int, c *socket.Conn, err error) {
-	if epoch != l.epoch {
-		if c != nil {
-			c.Abandon()
-		}
+func (l *Link) opened(n int, c *socket.Conn, err error) {
+	switch {
+	case err != nil:
+		l.lost(n, err)
 		return
-	}
-	if err != nil {
-		l.again(err)
+	case n != l.dialed: // another attempt is on its way, or this one was lost already
+		c.Abandon()
 		return
 	}
-	l.conn = c
+	if l.conn != nil {
+		l.conn.Abandon()
+	}
+	l.conn, l.present, l.up, l.gap = c, n, false, false
 	l.write(fmt.Sprintf("ATTACH %d", l.last), nil, false)
 }
 
-// again connects once more, after a while that grows.
-func (l *Link) again(err error) {
+// lost connects once more if the link or the latest attempt at one has failed,
+// at once at first and then after a while that grows.
+func (l *Link) lost(n int, err error) {
+	if n == l.present {
+		l.conn.Abandon()
+		l.conn, l.present, l.up = nil, 0, false
+	}
+	if n != l.dialed {
+		return
+	}
+	l.dialed++ // what was attempted counts no more
 	l.Log.Warn("engine link lost", zap.Error(err), zap.Duration("again_in", l.retry))
-	l.conn, l.up = nil, false
-	l.epoch++ // nothing of the lost link counts any more
-	l.Due.At(l.Now()+l.retry, l.Open)
+	l.again = l.Due.At(l.Now()+l.retry, l.Open)
 	l.retry = min(2*l.retry, retryMost)
 }
 
@@ -101,7 +117,7 @@
 }
 
 func (l *Link) send(r *run) {
-	r.sent = l.epoch
+	r.sent = l.present
 	l.write(fmt.Sprintf("RUN %s %s %d", r.attempt.Trace, r.attempt.Class, len(r.attempt.Body)), r.attempt.Body, true)
 }
 
@@ -113,8 +129,7 @@
 	}
 	r.halted = true
 	if r.sent == 0 { // the engine never heard of it
-		delete(l.runs, trace)
-		l.Exchange.Post(exchange.Outcome{Trace: trace, Stage: exchange.Ran, End: exchange.Stopped})
+		l.end(trace, exchange.Stopped)
 		return
 	}
 	if l.up {
@@ -135,7 +150,7 @@
 }
 
 func (l *Link) sendFeed(r *run) {
-	r.fed = l.epoch
+	r.fed = l.present
 	l.write(fmt.Sprintf("FEED %s %d", r.attempt.Trace, len(r.feed)), r.feed, true)
 }
 
@@ -148,13 +163,6 @@
 
 func long(words []string) bool { return words[0] == "DONE" || words[0] == "NEED" }
 
-func (l *Link) lost(err error) {
-	if l.conn != nil {
-		l.conn.Abandon()
-	}
-	l.again(err)
-}
-
 // read handles one message of the engine.
 func (l *Link) read(m lines.Message) {
 	w := m.Words
@@ -174,6 +182,7 @@
 		if n <= l.last {
 			return // told again after a new ATTACH
 		}
+		l.gap = l.gap || n != l.last+1
 		l.last = n
 		switch {
 		case w[0] == "NEED" && len(w) == 4:
@@ -231,14 +240,22 @@
 }
 
 // resend repeats the commands that an earlier link may have lost. It waits until
-// the notices that were missed are read: a run that ended meanwhile must not be
-// started again, and one that may have run is not, unless its class is safe.
+// the notices that were missed are read: by then a run of which nothing was told
+// has not ended. Either it runs, and nothing happens, or RUN was lost and it
+// begins now. Where notices are missing it may have ended: then only what is safe
+// to repeat is, and the rest is given up.
 func (l *Link) resend() {
 	for trace, r := range l.runs {
-		if r.sent != l.epoch && !r.seen && r.attempt.Safe && !r.halted {
-			l.send(r) // nothing happens if it runs
+		switch {
+		case r.sent == l.present:
+		case l.gap && !r.attempt.Safe:
+			l.write("HALT "+trace, nil, false)
+			l.end(trace, exchange.Error)
+			continue
+		case !r.seen || l.gap:
+			l.send(r)
 		}
-		if r.fed != 0 && r.fed != l.epoch {
+		if r.fed != 0 && r.fed != l.present {
 			l.sendFeed(r)
 		}
 		if r.halted {
@@ -247,6 +264,12 @@
 	}
 }
 
+// end reports a run as over, on no word of the engine.
+func (l *Link) end(trace string, end exchange.End) {
+	delete(l.runs, trace)
+	l.Exchange.Post(exchange.Outcome{Trace: trace, Stage: exchange.Ran, End: end})
+}
+
 func (l *Link) done(w []string, result []byte) {
 	ms, err := strconv.ParseFloat(w[4], 64)
 	ends := map[string]exchange.End{"OK": exchange.OK, "ERROR": exchange.Error, "STOPPED": exchange.Stopped, "MOOT": exchange.Moot}
@@ -267,6 +290,5 @@
 	if len(w) < 3 || w[1] != "RUN" || l.runs[w[2]] == nil {
 		return
 	}
-	delete(l.runs, w[2])
-	l.Exchange.Post(exchange.Outcome{Trace: w[2], Stage: exchange.Ran, End: exchange.Error})
+	l.end(w[2], exchange.Error)
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -4,6 +4,7 @@
 package exchange
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,11 @@
 	From    Asker
 }
 
+// IsTrace tells whether t can name a try: 16 hex digits.
+func IsTrace(t string) bool {
+	return len(t) == 16 && strings.Trim(t, "0123456789abcdefABCDEF") == ""
+}
+
 // Asker is a front's side of one request.
 type Asker interface {
 	// Answer sends the final answer, or drops it if the caller is gone.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -48,7 +48,7 @@
 	}
 	r := &exchange.Request{Trace: f.Get("Trace-Id"), Class: class, Arrived: now,
 		Keyed: f.Get("Lookup-Key") != "", Repeat: f.Get("Is-Retry") == "1"}
-	if !isTrace(r.Trace) {
+	if !exchange.IsTrace(r.Trace) {
 		return nil, fmt.Errorf("Trace-Id %q: want 16 hex digits", r.Trace)
 	}
 	if t := f.Get("Accepted-At-Ms"); t != "" {
@@ -84,10 +84,6 @@
 	return r, nil
 }
 
-func isTrace(t string) bool {
-	return len(t) == 16 && strings.Trim(t, "0123456789abcdefABCDEF") == ""
-}
-
 // Reply is an answer in the words of HTTP, which all fronts speak.
 type Reply struct {
 	Status  int
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -4,7 +4,9 @@
 package records
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,146 +18,251 @@
 	"oxbowbridge/internal/socket"
 )
 
-// The service closes what is idle for 10 s. The link does so earlier: a call
-// that crosses the service's close would end with no proof of anything.
-const idleMost = 8 * time.Second
+const (
+	// The service closes what is idle for 10 s, and some hops on the way forget
+	// idle connections earlier. A call that meets such an end proves nothing.
+	idleMost = time.Second
+	freeMost = 16 // unused connections that are kept
+
+	sendsMost     = 3   // of a call that is safe to repeat
+	memory        = 0.1 // weight of one reply in the means kept of them
+	patience      = 2.0 // of the time that replies take: what takes longer counts as lost
+	deviations    = 4.0 // mean deviations that belong to that time
+	firstGuess    = 500 * time.Millisecond
+	patienceLeast = 600 * time.Millisecond // replies of a quiet service differ by as much
+)
+
+var (
+	errSpoilt = errors.New("reply not understood")
+	errLate   = errors.New("no reply")
+)
+
+// call is a call that has not ended.
+type call struct {
+	exchange.Attempt
+	conn  *conn         // nil while it waits for one
+	until time.Duration // the service need not try longer
+	sends int
+}
+
+// conn is a connection. It carries one call at a time: after a spoilt reply a
+// connection is of no use, and must not take other calls with it.
+type conn struct {
+	link *Link
+	sock *socket.Conn // nil until it is open
+	call *call        // nil while it is free
+	last string       // the trace of its latest call, of which copies may still come
+	gone bool
+	sent time.Duration // when its call was
+	due  *deadline.Entry
+}
 
 // Link is the exchange.Caller that speaks to the records service.
 type Link struct {
 	link.Env
 	addr    string
-	conn    *socket.Conn
-	epoch   int  // of the connection: what older ones report is skipped
-	dialing bool // calls wait for the connection
-	calls   map[string]exchange.Attempt
-	waiting []string // traces of calls that are not sent, oldest first
-	idle    *deadline.Entry
+	most    int // connections, as many as calls in hand; further ones wait
+	open    int
+	calls   map[string]*call
+	waiting []*call       // without a connection, oldest first
+	free    []*conn       // the latest used last
+	mean    time.Duration // of the time that replies take
+	dev     time.Duration // its mean deviation
 }
 
-// New returns a Link that connects with its first call.
-func New(addr string, env link.Env) *Link {
-	return &Link{Env: env, addr: addr, calls: map[string]exchange.Attempt{}}
+// New returns a Link that connects when calls come, to so many connections at most.
+func New(addr string, most int, env link.Env) *Link {
+	return &Link{Env: env, addr: addr, most: most, calls: map[string]*call{}, mean: firstGuess, dev: firstGuess / 2}
 }
 
 // Call makes a call; the Outcome comes from the exchange.
 func (l *Link) Call(a exchange.Attempt) {
-	l.Due.Cancel(l.idle)
-	l.calls[a.Trace] = a
-	if l.conn != nil {
-		l.send(a)
-		return
+	l.GiveUp(a.Trace)
+	k := &call{Attempt: a, until: l.Now() + a.Wait}
+	l.calls[a.Trace] = k
+	l.place(k)
+}
+
+// place gives a call a connection, or has it wait for one.
+func (l *Link) place(k *call) {
+	// Guards against connections that were forgotten while they were free: the
+	// call that finds out may not be made again unless it is safe. Copies of an
+	// earlier reply under the same trace must not pass for this call's.
+	i := len(l.free) - 1
+	for i >= 0 && (!k.Safe || l.free[i].last == k.Trace) {
+		i--
 	}
-	l.waiting = append(l.waiting, a.Trace)
-	if !l.dialing {
-		l.connect()
+	switch {
+	case i >= 0:
+		c := l.free[i]
+		l.take(c)
+		c.begin(k)
+	case l.open < l.most:
+		l.connect(k)
+	case len(l.free) > 0:
+		l.free[0].end(exchange.Unreachable) // makes room
+		l.connect(k)
+	default:
+		l.waiting = append(l.waiting, k)
 	}
 }
 
-func (l *Link) send(a exchange.Attempt) {
-	line := fmt.Sprintf("OP %s %d %d", a.Trace, max(1, a.Wait.Milliseconds()), len(a.Body))
-	l.conn.Write(lines.Append(nil, line, a.Body, true))
+// take takes a connection from the free ones.
+func (l *Link) take(c *conn) {
+	l.Due.Cancel(c.due)
+	l.free = slices.DeleteFunc(l.free, func(f *conn) bool { return f == c })
 }
 
-// GiveUp ends a call that nobody waits for. No outcome follows.
-func (l *Link) GiveUp(trace string) {
-	if _, ok := l.calls[trace]; !ok {
-		return
-	}
-	delete(l.calls, trace)
-	if l.conn != nil {
-		l.conn.Write(lines.Append(nil, "UNOP "+trace, nil, false))
+func (l *Link) connect(k *call) {
+	l.open++
+	c := &conn{link: l, call: k}
+	k.conn = c
+	l.Dial("tcp", l.addr, &link.Lines{Env: l.Env, Parser: lines.Parser{Long: long}, Read: c.read, Lost: c.lost,
+		Live: func() bool { return !c.gone }}, c.opened)
+}
+
+func (c *conn) opened(s *socket.Conn, err error) {
+	switch {
+	case err != nil && !c.gone:
+		c.link.Log.Warn("records service not reached", zap.Error(err))
+		c.end(exchange.Unreachable) // nothing was ever sent
+	case err == nil && c.gone:
+		s.Abandon()
+	case err == nil:
+		c.sock = s
+		c.begin(c.call)
 	}
-	l.rest()
 }
 
-// rest closes the connection when it has been idle for long.
-func (l *Link) rest() {
-	if len(l.calls) > 0 || l.conn == nil {
-		return
+func (c *conn) begin(k *call) {
+	l := c.link
+	c.call, c.last, c.sent, k.conn = k, k.Trace, l.Now(), c
+	k.sends++
+	line := fmt.Sprintf("OP %s %d %d", k.Trace, max(1, (k.until-c.sent).Milliseconds()), len(k.Body))
+	c.sock.Write(lines.Append(nil, line, k.Body, true))
+	// Guards against replies that never come, or never end.
+	if k.again() {
+		c.due = l.Due.At(c.sent+l.patience(), func() { c.lost(errLate) })
 	}
-	l.Due.Cancel(l.idle)
-	l.idle = l.Due.At(l.Now()+idleMost, func() {
-		if len(l.calls) == 0 && l.conn != nil {
-			l.conn.Close()
-			l.conn, l.epoch = nil, l.epoch+1
-		}
-	})
 }
 
-func (l *Link) connect() {
-	l.dialing = true
-	l.epoch++
-	epoch := l.epoch
-	l.Dial("tcp", l.addr, &link.Lines{Env: l.Env, Parser: lines.Parser{Long: long}, Read: l.read, Lost: l.lost,
-		Live: func() bool { return epoch == l.epoch }},
-		func(c *socket.Conn, err error) { l.opened(epoch, c, err) })
+// again tells whether the call may be sent once more.
+func (k *call) again() bool { return k.Safe && k.sends < sendsMost }
+
+// patience is how long a call that may be sent again waits for its reply.
+func (l *Link) patience() time.Duration {
+	return max(patienceLeast, time.Duration(patience*float64(l.mean+deviations*l.dev)))
 }
 
-func (l *Link) opened(epoch int, c *socket.Conn, err error) {
-	if epoch != l.epoch {
-		if c != nil {
-			c.Abandon()
-		}
+// took learns how long replies take; a lost one took at least so long.
+func (l *Link) took(d time.Duration) {
+	l.dev += time.Duration(memory * float64((d-l.mean).Abs()-l.dev))
+	l.mean += time.Duration(memory * float64(d-l.mean))
+}
+
+// GiveUp ends a call that nobody waits for. No outcome follows. Its connection
+// is not used again: the reply that did not come may come spoilt.
+func (l *Link) GiveUp(trace string) {
+	k := l.calls[trace]
+	if k == nil {
 		return
 	}
-	l.dialing = false
-	if err != nil {
-		l.Log.Warn("records service not reached", zap.Error(err), zap.Int("calls", len(l.calls)))
-		l.end(exchange.Unreachable) // nothing was ever sent
+	delete(l.calls, trace)
+	if k.conn == nil {
+		l.waiting = slices.DeleteFunc(l.waiting, func(w *call) bool { return w == k })
 		return
 	}
-	l.conn = c
-	for _, trace := range l.waiting {
-		if a, ok := l.calls[trace]; ok {
-			l.send(a)
-		}
+	c := k.conn
+	c.call = nil
+	if c.sock != nil {
+		c.sock.Write(lines.Append(nil, "UNOP "+trace, nil, false))
 	}
-	l.waiting = nil
-	l.rest()
+	c.end(exchange.Unreachable)
 }
 
-// end settles all calls.
-func (l *Link) end(end exchange.End) {
-	for trace := range l.calls {
-		l.Exchange.Post(exchange.Outcome{Trace: trace, Stage: exchange.Called, End: end})
+// end closes the connection, ends the call on it and lets the next one connect.
+func (c *conn) end(end exchange.End) {
+	l := c.link
+	c.gone = true
+	l.open--
+	l.take(c)
+	if c.sock != nil {
+		c.sock.Close()
+	}
+	switch k := c.call; {
+	case k == nil:
+	case end == exchange.Broken && k.again() && l.Now() < k.until:
+		c.call, k.conn = nil, nil
+		l.place(k)
+	default:
+		c.finish(end, nil)
 	}
-	clear(l.calls)
-	l.waiting = nil
+	l.next()
 }
 
-func (l *Link) lost(err error) {
-	l.Due.Cancel(l.idle)
-	if len(l.calls) > 0 {
-		l.Log.Warn("records link lost", zap.Error(err), zap.Int("calls", len(l.calls)))
+// next places what waits, if there is room.
+func (l *Link) next() {
+	if len(l.waiting) > 0 && (l.open < l.most || len(l.free) > 0) {
+		k := l.waiting[0]
+		l.waiting = l.waiting[1:]
+		l.place(k)
 	}
-	end := exchange.Broken
-	if l.conn == nil { // closed before a call was sent
-		end = exchange.Unreachable
-	} else {
-		l.conn.Abandon()
+}
+
+// finish reports how the connection's call ended.
+func (c *conn) finish(end exchange.End, reply []byte) {
+	k := c.call
+	c.call = nil
+	delete(c.link.calls, k.Trace)
+	c.link.Exchange.Post(exchange.Outcome{Trace: k.Trace, Stage: exchange.Called, End: end, Body: reply})
+}
+
+func (c *conn) lost(err error) {
+	end := exchange.Unreachable // closed before a call was sent
+	if c.sock != nil {
+		end = exchange.Broken
+		c.sock.Abandon()
 	}
-	l.conn, l.dialing, l.epoch = nil, false, l.epoch+1
-	l.end(end)
+	if c.call != nil {
+		if errors.Is(err, errLate) {
+			c.link.took(c.link.Now() - c.sent)
+		}
+		c.link.Log.Warn("records link lost", zap.String("trace", c.call.Trace), zap.Error(err))
+	}
+	c.end(end)
 }
 
 func long(words []string) bool { return len(words) == 3 && words[1] == "DONE" }
 
-func (l *Link) read(m lines.Message) {
+func (c *conn) read(m lines.Message) {
 	ends := map[string]exchange.End{"DONE": exchange.OK, "WAIT": exchange.NotBegun, "ERROR": exchange.Error,
 		"PAST": exchange.OutOfTime, "EMPTY": exchange.NotBegun}
-	end, ok := exchange.Error, false
-	if len(m.Words) >= 2 {
-		end, ok = ends[m.Words[1]]
-	}
-	if !ok {
-		l.Log.Warn("records line not understood", zap.Strings("words", m.Words))
+	w := m.Words
+	if len(w) < 2 || !exchange.IsTrace(w[0]) || long(w) != (w[1] == "DONE") || !long(w) && len(w) != 2 {
+		c.lost(fmt.Errorf("%w: %q", errSpoilt, w)) // nothing after it can be trusted
 		return
 	}
-	trace := m.Words[0]
-	if _, open := l.calls[trace]; !open {
-		return // given up
+	end, ok := ends[w[1]]
+	switch {
+	case !ok:
+		c.lost(fmt.Errorf("%w: %q", errSpoilt, w))
+	case c.call == nil || c.call.Trace != w[0]:
+		// A copy, or the reply to what was never asked: it belongs to no call.
+	default:
+		c.link.took(c.link.Now() - c.sent)
+		c.finish(end, m.Payload)
+		c.rest()
 	}
-	delete(l.calls, trace)
-	l.Exchange.Post(exchange.Outcome{Trace: trace, Stage: exchange.Called, End: end, Body: m.Payload})
-	l.rest()
+}
+
+// rest keeps the connection for a call that comes soon.
+func (c *conn) rest() {
+	l := c.link
+	l.free = append(l.free, c)
+	l.Due.Cancel(c.due)
+	c.due = l.Due.At(l.Now()+idleMost, func() { c.end(exchange.Unreachable) })
+	if len(l.free) > freeMost {
+		l.free[0].end(exchange.Unreachable)
+	}
+	l.next()
 }
