SIGHUP reads the file again and moves engine, records and directory under load

Checked: no handler for SIGHUP in cmd/oxbowbridge/main.go, so the runtime's default ended the process; no link could change its address. Now the handler is there before the file is first read. A file that would not start the program changes nothing and costs one line that names the field (the settings are checked with it). The engine link goes on until the new one is open, attaches with the last notice read and repeats what may be lost; calls in hand stay on their connections; a refused connection to the records service is tried again for 0.3 s, as it proves that nothing ran and the service may be on its way. Also: a store node that asked a leader just elected took the file's settings for the stored ones (store.go, sync: it waited for what the leader had applied, not for what was committed); seen once as a failure of TestStore.

--- a/cmd/oxbowbridge/config.go
+++ b/cmd/oxbowbridge/config.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 
+	"oxbowbridge/internal/core"
 	"oxbowbridge/internal/store"
 	"oxbowbridge/internal/wire"
 )
@@ -68,6 +70,31 @@
 	return &c, c.check()
 }
 
+// changes names the fields that another file has changed: those that are followed
+// while the program runs, or those that wait for its next start.
+func (c *config) changes(to *config, followed bool) []string {
+	swapped := (c.Engine == "") != (to.Engine == "") // the engine for upstreams, or back
+	names := []string{}
+	for _, f := range []struct {
+		name     string
+		old, new any
+		followed bool
+	}{
+		{"engine", c.Engine, to.Engine, !swapped}, {"records", c.Records, to.Records, true},
+		{"lookup", c.Lookup, to.Lookup, true}, {"stop_ms", c.StopMS, to.StopMS, true},
+		{"ajp.upstreams", c.AJP.Upstreams, to.AJP.Upstreams, !swapped},
+		{"ajp.upstream_secret", c.AJP.UpstreamSecret, to.AJP.UpstreamSecret, !swapped},
+		{"name", c.Name, to.Name, false}, {"listen", c.Listen, to.Listen, false}, {"limits", c.Limits, to.Limits, false},
+		{"settings", c.Settings, to.Settings, false}, {"ajp.listen", c.AJP.Listen, to.AJP.Listen, false},
+		{"ajp.secret", c.AJP.Secret, to.AJP.Secret, false}, {"store", c.Store, to.Store, false},
+	} {
+		if f.followed == followed && !reflect.DeepEqual(f.old, f.new) {
+			names = append(names, f.name)
+		}
+	}
+	return names
+}
+
 func (c *config) check() error {
 	if c.Name == "" {
 		return fault("name", "%w", errMissing)
@@ -104,6 +131,9 @@
 			return fault("ajp.secret", "needed unless ajp.listen is a loopback address")
 		}
 	}
+	if _, err := core.Check(&c.Settings); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
 	if c.Store != nil {
 		if err := c.Store.Check(); err != nil {
 			return fmt.Errorf("store.%w", err)
--- a/cmd/oxbowbridge/main.go
+++ b/cmd/oxbowbridge/main.go
@@ -50,6 +50,8 @@
 }
 
 func run(env func(string) string) error {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP) // guards against a SIGHUP that ends the program, from the first moment on
 	cfg, err := readConfig(env)
 	if err != nil {
 		return fmt.Errorf("%w: %w", errConfig, err)
@@ -66,25 +68,55 @@
 		return err
 	}
 	defer kept.close()
-	c, x, err := wireUp(cfg, log)
+	s, err := wireUp(cfg, log)
 	if err != nil {
 		return err
 	}
 	kept.say("open")
 	go func() {
-		<-notice.Done()
-		kept.say("draining")
-		x.Post(exchange.Step(func() { c.Drain(time.Duration(cfg.StopMS)*time.Millisecond - kept.closing()) }))
+		for {
+			select {
+			case <-hangup:
+				cfg = s.reload(cfg, env)
+			case <-notice.Done():
+				kept.say("draining")
+				stop := time.Duration(cfg.StopMS)*time.Millisecond - kept.closing()
+				s.x.Post(exchange.Step(func() { s.core.Drain(stop) }))
+				return
+			}
+		}
 	}()
-	c.Run()
+	s.core.Run()
 	return nil
 }
 
+// service is the program's parts once they are connected.
+type service struct {
+	core  *core.Core
+	x     *exchange.Exchange
+	log   *zap.Logger
+	moves func(*config) // to other addresses, in the core's goroutine
+}
+
+// reload reads the file again, and returns the configuration that is in force.
+// One that would not start changes nothing.
+func (s *service) reload(old *config, env func(string) string) *config {
+	cfg, err := readConfig(env)
+	if err != nil {
+		s.log.Error("configuration not taken", zap.Error(err))
+		return old
+	}
+	s.x.Post(exchange.Step(func() { s.moves(cfg) }))
+	s.log.Info("configuration taken", zap.Strings("changed", old.changes(cfg, true)),
+		zap.Strings("at_next_start", old.changes(cfg, false)))
+	return cfg
+}
+
 // wireUp makes the parts and connects them.
-func wireUp(cfg *config, log *zap.Logger) (*core.Core, *exchange.Exchange, error) {
+func wireUp(cfg *config, log *zap.Logger) (*service, error) {
 	loop, err := socket.New()
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	began := time.Now()
 	seed, _ := cfg.seed() // readConfig tried it
@@ -97,43 +129,60 @@
 		Now: func() time.Duration { return time.Since(began) }}
 	env := link.Env{Exchange: x, Loop: loop, Due: p.Deadlines, Now: p.Now, Log: log}
 	runner := runnerOf(cfg, env)
-	p.Runner = runner
-	if cfg.Records != "" {
-		p.Calls = records.New(cfg.Records, cfg.Limits.Sockets/callShare, env)
-	}
-	if cfg.Lookup != "" {
-		p.Directory = directory.New(cfg.Lookup, cfg.Name, env)
-	}
+	calls := records.New(cfg.Records, cfg.Limits.Sockets/callShare, env)
+	list := directory.New(cfg.Lookup, cfg.Name, env)
+	p.Runner, p.Calls, p.Directory = runner, calls, list
 	fronts := frontsOf(cfg, x, classes, log)
 	for _, f := range fronts {
 		p.Fronts = append(p.Fronts, f.front)
 	}
 	c, err := core.New(p)
 	if err != nil {
-		return nil, nil, fmt.Errorf("%w: settings: %w", errConfig, err)
+		return nil, fmt.Errorf("%w: settings: %w", errConfig, err)
 	}
 	for _, f := range fronts {
 		if err := f.front.Listen(loop, f.addr, cfg.Limits.Sockets*3/4/len(fronts)); err != nil {
-			return nil, nil, fmt.Errorf("%w: %s: %w", errConfig, f.field, err)
+			return nil, fmt.Errorf("%w: %s: %w", errConfig, f.field, err)
 		}
 		log.Info("listening", zap.String("front", f.field), zap.Stringer("address", f.front.Addr()))
 	}
 	runner.Open()
-	return c, x, nil
+	return &service{core: c, x: x, log: log, moves: func(now *config) {
+		runner.moveTo(now)
+		calls.Move(now.Records)
+		list.Move(now.Lookup)
+	}}, nil
 }
 
-// runner is an exchange.Runner that has to be connected.
+// runner is an exchange.Runner that has to be connected, and to follow the file.
 type runner interface {
 	exchange.Runner
 	Open()
+	moveTo(*config)
+}
+
+type engineRunner struct{ *engine.Link }
+
+func (r engineRunner) moveTo(cfg *config) {
+	if cfg.Engine != "" { // to upstreams, at the next start
+		r.Move(cfg.Engine)
+	}
+}
+
+type upstreamRunner struct{ *ajp.Upstreams }
+
+func (r upstreamRunner) moveTo(cfg *config) {
+	if len(cfg.AJP.Upstreams) > 0 { // to an engine, at the next start
+		r.Move(cfg.AJP.Upstreams, cfg.AJP.UpstreamSecret)
+	}
 }
 
 func runnerOf(cfg *config, env link.Env) runner {
 	if len(cfg.AJP.Upstreams) > 0 {
 		info := &cfg.Settings.Info
-		return ajp.NewUpstreams(cfg.AJP.Upstreams, cfg.AJP.UpstreamSecret, info.Cores, info.OwnStats, env)
+		return upstreamRunner{ajp.NewUpstreams(cfg.AJP.Upstreams, cfg.AJP.UpstreamSecret, info.Cores, info.OwnStats, env)}
 	}
-	return engine.New(cfg.Engine, env)
+	return engineRunner{engine.New(cfg.Engine, env)}
 }
 
 // listener is a front before it listens.
--- a/internal/ajp/upstream.go
+++ b/internal/ajp/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -54,6 +55,7 @@
 // upConn is a connection to an upstream.
 type upConn struct {
 	up     *Upstreams
+	addr   string
 	sock   *socket.Conn
 	parser parser
 	bad    bool
@@ -82,6 +84,16 @@
 	u.Due.At(u.Now()+probeEvery, u.Open)
 }
 
+// Move has new runs go to other addresses. Those that are out stay where they are.
+func (u *Upstreams) Move(addrs []string, secret string) {
+	u.addrs, u.secret = addrs, secret
+	for _, c := range slices.Clone(u.free) {
+		if !slices.Contains(addrs, c.addr) {
+			c.lost(nil)
+		}
+	}
+}
+
 // Run has a run done.
 func (u *Upstreams) Run(a exchange.Attempt) {
 	r := &upRun{Attempt: a, began: u.Now()}
@@ -104,7 +116,7 @@
 func (u *Upstreams) connect(r *upRun) {
 	addr := u.addrs[u.next%len(u.addrs)]
 	u.next++
-	c := &upConn{up: u, parser: parser{magic: toWeb}, run: r}
+	c := &upConn{up: u, addr: addr, parser: parser{magic: toWeb}, run: r}
 	if r != nil {
 		r.conn = c
 	}
@@ -308,7 +320,7 @@
 		c.up.Log.Warn("upstream failed a run", zap.String("trace", r.Trace), zap.Int("status", status))
 	}
 	c.up.end(r, end, result)
-	if reuse {
+	if reuse && slices.Contains(c.up.addrs, c.addr) {
 		c.rest()
 	} else {
 		c.lost(nil)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,7 +43,7 @@
 	Shut()
 }
 
-// Parts are what the core is wired to. Calls and Directory may be nil.
+// Parts are what the core is wired to.
 type Parts struct {
 	Exchange  *exchange.Exchange
 	Deadlines *deadline.Set
@@ -103,27 +103,34 @@
 	done     bool
 }
 
-// New checks the settings and returns a Core.
-func New(p Parts) (*Core, error) {
-	set, err := p.Settings.Rules()
+// Check tells what of the settings can't be served.
+func Check(w *wire.Settings) (rules.Settings, error) {
+	set, err := w.Rules()
 	if err != nil {
-		return nil, err
+		return set, err
 	}
 	for i, k := range set.Classes {
 		if k.Effect == rules.Deduplicated {
-			return nil, fmt.Errorf("classes.%d.effect: deduplicated classes are not served", i)
+			return set, fmt.Errorf("classes.%d.effect: deduplicated classes are not served", i)
 		}
-		if p.Settings.Classes[i].Name == "" {
-			return nil, fmt.Errorf("classes.%d.name: missing", i)
+		if w.Classes[i].Name == "" {
+			return set, fmt.Errorf("classes.%d.name: missing", i)
 		}
 	}
 	switch {
 	case set.Advert != rules.AdvertNone:
-		return nil, fmt.Errorf("family_info.advert: only none is served")
+		return set, fmt.Errorf("family_info.advert: only none is served")
 	case set.ShareFor > 0:
-		return nil, fmt.Errorf("family_info.share_for_ns: only 0 is served")
+		return set, fmt.Errorf("family_info.share_for_ns: only 0 is served")
 	}
-	if _, err := rules.New(set, p.Seed); err != nil {
+	_, err = rules.New(set, 0)
+	return set, err
+}
+
+// New checks the settings and returns a Core.
+func New(p Parts) (*Core, error) {
+	set, err := Check(p.Settings)
+	if err != nil {
 		return nil, err
 	}
 	return &Core{Parts: p, set: set, fresh: set.Fresh, byID: map[uint32]*request{}, byTrace: map[string]*request{},
@@ -222,9 +229,7 @@
 		c.gauges = c.Settings.Gauges(e)
 	case exchange.Ready:
 		c.fresh = e.Cold
-		if c.Directory != nil {
-			c.Directory.Open()
-		}
+		c.Directory.Open()
 		c.tell(rules.Due{Gauges: c.gauges}) // a first event: the module starts
 	case exchange.Step:
 		e()
@@ -293,7 +298,7 @@
 
 // end stops a run that stands at a call and whose answer is given.
 func (c *Core) end(r *request) {
-	if r.phase == calling && c.Calls != nil {
+	if r.phase == calling {
 		c.Calls.GiveUp(r.Trace)
 	}
 	c.Deadlines.Cancel(r.expire)
@@ -330,7 +335,7 @@
 	if r.phase == held {
 		return
 	}
-	if r.phase == calling && c.Calls != nil {
+	if r.phase == calling {
 		c.Calls.GiveUp(r.Trace)
 	}
 	outcomes := map[exchange.End]rules.Outcome{exchange.OK: rules.OK, exchange.Stopped: rules.Cancelled,
@@ -425,11 +430,6 @@
 }
 
 func (c *Core) call(now time.Duration, r *request, expire time.Duration) {
-	if c.Calls == nil {
-		c.tell(rules.Replied{ID: r.id, Outcome: rules.Unreachable})
-		c.Exchange.Post(exchange.Step(func() {}))
-		return
-	}
 	if expire == 0 {
 		expire = now + c.set.Classes[r.Class].Deadline
 	}
@@ -466,9 +466,7 @@
 	c.draining, c.stopAt = true, c.Now()+stop
 	c.closeAt = min(c.Now()+c.set.DrainGrace, c.stopAt-stopLead)
 	c.Log.Info("drain", zap.Duration("stop_in", stop), zap.Int("open", len(c.byID)))
-	if c.Directory != nil {
-		c.Directory.Shut()
-	}
+	c.Directory.Shut()
 	for _, f := range c.Fronts {
 		f.StopListening()
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -68,6 +68,16 @@
 		func(c *socket.Conn, err error) { l.opened(n, c, err) })
 }
 
+// Move goes on at another address. Runs and numbers of notices stay as they are:
+// it is the same engine.
+func (l *Link) Move(addr string) {
+	if addr == l.addr {
+		return
+	}
+	l.addr, l.retry = addr, retryFirst
+	l.Open()
+}
+
 func (l *Link) opened(n int, c *socket.Conn, err error) {
 	switch {
 	case err != nil:
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -24,10 +24,12 @@
 	idleMost = time.Second
 	freeMost = 16 // unused connections that are kept
 
-	sendsMost     = 3   // of a call that is safe to repeat
-	memory        = 0.1 // weight of one reply in the means kept of them
-	patience      = 2.0 // of the time that replies take: what takes longer counts as lost
-	deviations    = 4.0 // mean deviations that belong to that time
+	dialsMost     = 5                     // of a call: the service may be on the move
+	dialAgain     = 20 * time.Millisecond // after the first, then twice as long each time
+	sendsMost     = 3                     // of a call that is safe to repeat
+	memory        = 0.1                   // weight of one reply in the means kept of them
+	patience      = 2.0                   // of the time that replies take: what takes longer counts as lost
+	deviations    = 4.0                   // mean deviations that belong to that time
 	firstGuess    = 500 * time.Millisecond
 	patienceLeast = 600 * time.Millisecond // replies of a quiet service differ by as much
 )
@@ -40,15 +42,18 @@
 // call is a call that has not ended.
 type call struct {
 	exchange.Attempt
-	conn  *conn         // nil while it waits for one
-	until time.Duration // the service need not try longer
-	sends int
+	conn   *conn         // nil while it waits for one
+	until  time.Duration // the service need not try longer
+	sends  int
+	dials  int             // that were refused
+	redial *deadline.Entry // the next one
 }
 
 // conn is a connection. It carries one call at a time: after a spoilt reply a
 // connection is of no use, and must not take other calls with it.
 type conn struct {
 	link *Link
+	addr string
 	sock *socket.Conn // nil until it is open
 	call *call        // nil while it is free
 	last string       // the trace of its latest call, of which copies may still come
@@ -70,11 +75,23 @@
 	dev     time.Duration // its mean deviation
 }
 
-// New returns a Link that connects when calls come, to so many connections at most.
+// New returns a Link that connects when calls come, to so many connections at
+// most. Without an address no call is made.
 func New(addr string, most int, env link.Env) *Link {
 	return &Link{Env: env, addr: addr, most: most, calls: map[string]*call{}, mean: firstGuess, dev: firstGuess / 2}
 }
 
+// Move has new calls go to another address. Those in hand stay where they are.
+func (l *Link) Move(addr string) {
+	if addr == l.addr {
+		return
+	}
+	l.addr = addr
+	for len(l.free) > 0 {
+		l.free[0].end(exchange.Unreachable)
+	}
+}
+
 // Call makes a call; the Outcome comes from the exchange.
 func (l *Link) Call(a exchange.Attempt) {
 	l.GiveUp(a.Trace)
@@ -97,6 +114,9 @@
 		c := l.free[i]
 		l.take(c)
 		c.begin(k)
+	case l.addr == "":
+		delete(l.calls, k.Trace)
+		l.Exchange.Post(exchange.Outcome{Trace: k.Trace, Stage: exchange.Called, End: exchange.Unreachable})
 	case l.open < l.most:
 		l.connect(k)
 	case len(l.free) > 0:
@@ -115,17 +135,16 @@
 
 func (l *Link) connect(k *call) {
 	l.open++
-	c := &conn{link: l, call: k}
+	c := &conn{link: l, addr: l.addr, call: k}
 	k.conn = c
-	l.Dial("tcp", l.addr, &link.Lines{Env: l.Env, Parser: lines.Parser{Long: long}, Read: c.read, Lost: c.lost,
+	l.Dial("tcp", c.addr, &link.Lines{Env: l.Env, Parser: lines.Parser{Long: long}, Read: c.read, Lost: c.lost,
 		Live: func() bool { return !c.gone }}, c.opened)
 }
 
 func (c *conn) opened(s *socket.Conn, err error) {
 	switch {
 	case err != nil && !c.gone:
-		c.link.Log.Warn("records service not reached", zap.Error(err))
-		c.end(exchange.Unreachable) // nothing was ever sent
+		c.refused(err)
 	case err == nil && c.gone:
 		s.Abandon()
 	case err == nil:
@@ -134,6 +153,20 @@
 	}
 }
 
+// refused tries once more: no call ran, and the service may come back or be on
+// its way to another address. A call that finds none in that time fails.
+func (c *conn) refused(err error) {
+	l, k := c.link, c.call
+	if k.dials++; k.dials >= dialsMost || l.Now() >= k.until || l.addr == "" {
+		l.Log.Warn("records service not reached", zap.Error(err))
+		c.end(exchange.Unreachable) // nothing was ever sent
+		return
+	}
+	c.call, k.conn = nil, nil
+	k.redial = l.Due.At(l.Now()+dialAgain<<(k.dials-1), func() { l.place(k) })
+	c.end(exchange.Unreachable)
+}
+
 func (c *conn) begin(k *call) {
 	l := c.link
 	c.call, c.last, c.sent, k.conn = k, k.Trace, l.Now(), c
@@ -169,6 +202,7 @@
 	}
 	delete(l.calls, trace)
 	if k.conn == nil {
+		l.Due.Cancel(k.redial)
 		l.waiting = slices.DeleteFunc(l.waiting, func(w *call) bool { return w == k })
 		return
 	}
@@ -222,6 +256,9 @@
 	if c.sock != nil {
 		end = exchange.Broken
 		c.sock.Abandon()
+	} else if c.call != nil {
+		c.refused(err)
+		return
 	}
 	if c.call != nil {
 		if errors.Is(err, errLate) {
@@ -258,6 +295,10 @@
 // rest keeps the connection for a call that comes soon.
 func (c *conn) rest() {
 	l := c.link
+	if c.addr != l.addr {
+		c.end(exchange.Unreachable)
+		return
+	}
 	l.free = append(l.free, c)
 	l.Due.Cancel(c.due)
 	c.due = l.Due.At(l.Now()+idleMost, func() { c.end(exchange.Unreachable) })
--- a/internal/store/admin.go
+++ b/internal/store/admin.go
@@ -23,6 +23,7 @@
 	State    string `json:"state"`
 	Leader   string `json:"leader"`
 	Applied  uint64 `json:"applied"`
+	Last     uint64 `json:"last"`            // of the node's log
 	Mirrored uint64 `json:"mirrored"`        // the index up to which the store of record has all
 	SQLError string `json:"error,omitempty"` // why it hasn't more
 }
@@ -71,7 +72,7 @@
 
 func (a *admin) status() Status {
 	s := a.store
-	st := Status{Node: s.self.Name, State: s.raft.State().String(), Applied: s.raft.AppliedIndex()}
+	st := Status{Node: s.self.Name, State: s.raft.State().String(), Applied: s.raft.AppliedIndex(), Last: s.raft.LastIndex()}
 	if p, ok := s.leader(); ok {
 		st.Leader = p.Name
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -213,7 +213,9 @@
 	if err != nil {
 		return err
 	}
-	if s.raft.AppliedIndex() < status.Applied {
+	// Guards against a leader of a moment ago: it has all that was committed in its
+	// log, but may not have applied it yet.
+	if s.raft.AppliedIndex() < status.Last {
 		return errors.New("behind the leader")
 	}
 	return nil
--- a/tests/links_test.go
+++ b/tests/links_test.go
@@ -78,6 +78,7 @@
 	await(t, "two runs", func() bool { return e.held() == 2 })
 	e.mu.Lock()
 	e.holds = nil
+	clear(e.active) // both ended
 	e.notices = append(e.notices, "", "", fmt.Sprintf("NOTE %d the first that is kept\r\n", len(e.notices)+3))
 	e.conn.Close()
 	e.mu.Unlock()
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -100,6 +101,28 @@
 	mu     sync.Mutex
 	stderr bytes.Buffer
 	exit   chan error
+	cfg    object
+	path   string
+}
+
+func (s *service) writeConfig() {
+	text, err := json.Marshal(s.cfg)
+	require.NoError(s.t, err)
+	require.NoError(s.t, os.WriteFile(s.path, text, 0o600))
+}
+
+// reload has the program read a changed file, and waits for the line that it
+// logs about that.
+func (s *service) reload(change func(object)) string {
+	said := func() []string {
+		return slices.DeleteFunc(strings.Split(s.log(), "\n"), func(l string) bool { return !strings.Contains(l, `"msg":"configuration `) })
+	}
+	n := len(said())
+	change(s.cfg)
+	s.writeConfig()
+	require.NoError(s.t, s.cmd.Process.Signal(syscall.SIGHUP))
+	await(s.t, "a line on the configuration", func() bool { return len(said()) > n })
+	return said()[n]
 }
 
 func (s *service) Write(b []byte) (int, error) {
@@ -123,12 +146,10 @@
 	change(cfg)
 	name := fmt.Sprint(cfg["name"])
 	cfg["name"] = "in-the-file" // the environment's goes before it
-	text, err := json.Marshal(cfg)
-	require.NoError(t, err)
-	path := filepath.Join(t.TempDir(), "config.json")
-	require.NoError(t, os.WriteFile(path, text, 0o600))
+	s.cfg, s.path = cfg, filepath.Join(t.TempDir(), "config.json")
+	s.writeConfig()
 	s.cmd = exec.Command(program)
-	s.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_NAME="+name)
+	s.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+s.path, "BALANCER_NAME="+name)
 	s.cmd.Stderr = s
 	require.NoError(t, s.cmd.Start())
 	go func() { s.exit <- s.cmd.Wait() }()
@@ -235,21 +256,27 @@
 	mu      sync.Mutex
 	conn    net.Conn
 	notices []string
-	runs    map[string]int // RUN commands by trace
+	runs    map[string]int // how often each trace began to run
+	active  map[string]bool
 	holds   []string
 	heard   []string
 	deaf    bool // reads commands and does nothing
 }
 
 func newEngine(t *testing.T) *engine {
-	e := &engine{runs: map[string]int{}}
-	e.addr = server(t, func(c net.Conn) {
+	e := &engine{runs: map[string]int{}, active: map[string]bool{}}
+	e.addr = e.listen(t)
+	return e
+}
+
+// listen opens one more address of the same engine.
+func (e *engine) listen(t *testing.T) string {
+	return server(t, func(c net.Conn) {
 		e.mu.Lock()
 		e.conn = c
 		e.mu.Unlock()
 		linesOf(c, func(w []string) bool { return w[0] == "RUN" || w[0] == "FEED" }, e.command)
 	})
-	return e
 }
 
 func (e *engine) command(w []string, body []byte) {
@@ -265,8 +292,10 @@
 		fmt.Fprintf(e.conn, "HELLO WARM 20000\r\n%s", strings.Join(e.notices[n:], ""))
 	case w[0] == "STAT":
 		fmt.Fprintf(e.conn, "STATS %s 0.1 1 0.1 1\r\n", w[1])
+	case w[0] == "RUN" && e.active[w[1]]: // nothing happens
 	case w[0] == "RUN":
 		e.runs[w[1]]++
+		e.active[w[1]] = true
 		switch string(body) {
 		case "ok":
 			e.notice("DONE %d "+w[1]+" OK 5 ", "result of "+w[1])
@@ -290,6 +319,9 @@
 func (e *engine) notice(format, payload string) {
 	n := fmt.Sprintf(format, len(e.notices)+1) + fmt.Sprintf("%d\r\n%s\r\n", len(payload), payload)
 	e.notices = append(e.notices, n)
+	if w := strings.Fields(n); w[0] == "DONE" {
+		delete(e.active, w[2])
+	}
 	e.conn.Write([]byte(n))
 }
 
@@ -335,6 +367,15 @@
 	heard []string
 	conns int
 	ended int // of them
+	last  net.Conn
+	asked string // latest trace
+}
+
+// answer gives the latest call a reply that was held back.
+func (r *records) answer(body string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.last, "%s DONE %d\r\n%s\r\n", r.asked, len(body), body)
 }
 
 func newRecords(t *testing.T) *records {
@@ -349,6 +390,7 @@
 			if w[0] != "OP" {
 				return
 			}
+			r.last, r.asked = c, w[1]
 			reply := cmp.Or(r.once, r.reply)
 			r.once = ""
 			switch reply {
