Run limit grows by the free cores; a draining service listens through its grace

Checked with the gauges logged beside the module's own counts at each tick: 5 to 10 of 12 cores were on work and 80 to 85% used while 20 to 45% was refused; held 0 to 5, memory 8% full. c grew by one a tick, and only in the few ticks that found fewer on the cores and at calls than cores (rules.go, adjustLimit). The plan of the first second is made for Λmax and shuts out all but the best class whenever c is full. At SIGTERM the listener closed at once (core.go, Drain), seconds before balancers hear of it. Ruled out: memory, the crowd, ghosts among the runs (counts and gauges agree), CPU. Now c grows by as many as are free and shrinks from 98.5% use on, not 97%; the first episode takes half a second; the listener stays until the grace is over.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -467,9 +467,6 @@
 	c.closeAt = min(c.Now()+c.set.DrainGrace, c.stopAt-stopLead)
 	c.Log.Info("drain", zap.Duration("stop_in", stop), zap.Int("open", len(c.byID)))
 	c.Directory.Shut()
-	for _, f := range c.Fronts {
-		f.StopListening()
-	}
 	c.tell(rules.Drain{TimeLeft: max(0, stop-stopLead)})
 	c.drainTick()
 }
@@ -485,6 +482,9 @@
 	}
 	left, unsent := 0, 0
 	for _, f := range c.Fronts {
+		// Not earlier: balancers hear of a drain late, and until then what comes on
+		// new connections can still be served.
+		f.StopListening()
 		l, u := f.CloseIdle(0)
 		left, unsent = left+l, unsent+u
 	}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -286,7 +286,9 @@
 	case c.call == nil || c.call.Trace != w[0]:
 		// A copy, or the reply to what was never asked: it belongs to no call.
 	default:
-		c.link.took(c.link.Now() - c.sent)
+		if end == exchange.OK { // a refusal comes sooner
+			c.link.took(c.link.Now() - c.sent)
+		}
 		c.finish(end, m.Payload)
 		c.rest()
 	}
--- a/rules/advice_test.go
+++ b/rules/advice_test.go
@@ -77,3 +77,17 @@
 	}
 	require.Equal(t, 20.0, r.c.est.total)
 }
+
+// TestLimitGrowsByTheCoresThatAreFree: a limit that grew by one a tick would turn
+// requests away for seconds while cores idle.
+func TestLimitGrowsByTheCoresThatAreFree(t *testing.T) {
+	r := newRig(t, func(s *Settings) { s.Cores = 8 })
+	for i := range uint32(12) {
+		r.at(0, ask(i+1, 1))
+	}
+	r.at(gaugeEvery, Due{Ref: r.c.ref, Gauges: Gauges{CoreUse: 0.6, OnCores: 3}})
+	require.Equal(t, 13, r.c.limit)
+	r.c.waited = true
+	r.at(gaugeEvery, Due{Ref: r.c.ref, Gauges: Gauges{CoreUse: 0.98, OnCores: 8}})
+	require.Equal(t, 13, r.c.limit, "no one waits for what is nearly busy")
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -11,7 +11,7 @@
 
 // Tuned values. None is tied to a deployment.
 const (
-	firstEpisode   = time.Second            // t1: some tens of arrivals, and a plan soon after the start
+	firstEpisode   = time.Second / 2        // t1: some tens of arrivals, and a plan soon after the start
 	gaugeEvery     = 250 * time.Millisecond // twice per averaging time of the gauges
 	confidence     = 1.0 / 64               // scales ε: the paper's constant never narrows within minutes
 	rateFloor      = 0.1                    // Λmin, of cμ: a server below it has no decision to take
@@ -25,7 +25,7 @@
 	silenceRuns    = 5.0                    // expected runs without one done before μ is doubted
 	stuckRuns      = 20.0                   // the same, before the server calls itself unhealthy
 	idleUse        = 0.9                    // core use below which more may run at once
-	busyUse        = 0.97                   // core use above which more running can't help
+	busyUse        = 0.985                  // core use above which more running can't help
 	crowdShare     = 0.7                    // of the crowd survived that may run or stand at calls
 	memoryShare    = 0.92                   // of the memory that is handed out
 	readKeyShare   = 0.5                    // of the memory that keys of plain reads may fill
@@ -751,20 +751,20 @@
 	c.window[0] = 0
 }
 
-// adjustLimit grows c while requests find it full though cores idle and what is
-// at calls would find room too; it shrinks c to the cores while they are busy,
+// adjustLimit grows c by the cores that are free while requests find it full, if
+// what is at calls would find room too; it shrinks c to the cores while they are busy,
 // and below while requests wait long to be read: the intake shares the cores, and
 // once it can't keep up all that is read is stale, whatever crowded it.
 func (c *Controller) adjustLimit(g Gauges) {
 	cores := c.set.Cores
-	idle := g.CoreUse >= 0 && g.CoreUse < idleUse && g.OnCores+float64(c.n[calling]) < float64(cores)
+	free := int(math.Ceil(float64(cores) - g.OnCores - float64(c.n[calling])))
 	switch {
 	case c.intake > intakeShare:
 		c.limit = max(1, cores/3, c.limit-1)
 	case c.limit < cores:
 		c.limit++
-	case idle && c.waited:
-		c.limit = min(c.limit+1, max(cores, int(c.crowd()*crowdShare)))
+	case c.waited && g.CoreUse >= 0 && g.CoreUse < idleUse && free > 0:
+		c.limit = min(c.limit+free, max(cores, int(c.crowd()*crowdShare)))
 	case g.CoreUse > busyUse && c.limit > cores:
 		c.limit--
 	}
