Calls weigh a quarter on the run limit's growth, as in the limit; old gauges are dropped

Checked: adjustLimit held c while cores plus all calls in hand reached the cores, though canRun books a call at a quarter of a run; with three to nine calls that was nearly always so. Ruled out: CPU of the service (profile: 0.05 of a core, mostly system calls), thresholds (confidence 1/160 gained nothing), the share of the crowd. Seen in core.go besides: gauges that the engine last gave were handed on as new while the link was down or the engine hung; c grew on them. After 1 s they are now unknown. One connection to the records service may bring 16 replies of nobody's call at most; of one message 50 lines a second are logged.

--- a/cmd/oxbowbridge/config.go
+++ b/cmd/oxbowbridge/config.go
@@ -30,6 +30,7 @@
 	Settings wire.Settings `json:"settings"`
 	AJP      *ajpConfig    `json:"ajp"`   // absent on the platform
 	Store    *store.Config `json:"store"` // absent on the platform
+	stored   bool          // the settings in force are those of the store
 }
 
 // ajpConfig sets up callers and upstreams that speak AJP13.
@@ -88,6 +89,9 @@
 		{"settings", c.Settings, to.Settings, false}, {"ajp.listen", c.AJP.Listen, to.AJP.Listen, false},
 		{"ajp.secret", c.AJP.Secret, to.AJP.Secret, false}, {"store", c.Store, to.Store, false},
 	} {
+		if f.name == "settings" && c.stored {
+			continue // the store's go before the file's
+		}
 		if f.followed == followed && !reflect.DeepEqual(f.old, f.new) {
 			names = append(names, f.name)
 		}
--- a/cmd/oxbowbridge/keeper.go
+++ b/cmd/oxbowbridge/keeper.go
@@ -88,7 +88,7 @@
 		k.log.Error("settings of the store are not usable, the file's are used", zap.Error(err))
 		return
 	}
-	cfg.Settings = w
+	cfg.Settings, cfg.stored = w, true
 	k.log.Info("settings taken from the store")
 }
 
--- a/cmd/oxbowbridge/main.go
+++ b/cmd/oxbowbridge/main.go
@@ -35,6 +35,8 @@
 	requestKB    = 8   // what an open request takes here: body, result, bookkeeping
 	requestShare = 3   // a third of memory_mb may be open requests
 	callShare    = 8   // an eighth of the descriptors may be calls in hand
+	linesMost    = 50  // of one message in a second, after which
+	linesThen    = 100 // only one of so many is written
 )
 
 var errConfig = errors.New("configuration")
@@ -109,6 +111,7 @@
 	s.x.Post(exchange.Step(func() { s.moves(cfg) }))
 	s.log.Info("configuration taken", zap.Strings("changed", old.changes(cfg, true)),
 		zap.Strings("at_next_start", old.changes(cfg, false)))
+	cfg.stored = old.stored
 	return cfg
 }
 
@@ -211,5 +214,7 @@
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.ISO8601TimeEncoder
 	enc.EncodeDuration = zapcore.StringDurationEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stderr), level))
+	lines := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stderr), level)
+	// Guards the log, and the core that writes it, against callers that fail by the thousand.
+	return zap.New(zapcore.NewSamplerWithOptions(lines, time.Second, linesMost, linesThen))
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,6 +24,7 @@
 	sweepEvery = 200 * time.Millisecond // of connections: idle, or left half done
 	drainSweep = 20 * time.Millisecond  // the same while draining
 	gapMost    = 20 * time.Millisecond  // a turn this late is worth a line in the log
+	gaugesMost = time.Second            // gauges older than this say nothing of the present
 )
 
 // Front is the server side as the core sees it.
@@ -93,10 +94,12 @@
 	events  []rules.Event
 	batch   []exchange.Event
 	gauges  rules.Gauges
+	gauged  time.Duration // when they came
 	idle    time.Duration // how long connections may stay unused
 	last    time.Duration // the last call of Handle
 
 	draining bool
+	deaf     bool // the fronts take no more connections
 	stopAt   time.Duration
 	closeAt  time.Duration // from then on idle connections are closed: nothing that comes may run
 	emptyAt  time.Duration // since when nothing is left to do while draining
@@ -226,7 +229,7 @@
 	case exchange.Outcome:
 		c.outcome(e)
 	case exchange.Gauges:
-		c.gauges = c.Settings.Gauges(e)
+		c.gauges, c.gauged = c.Settings.Gauges(e), c.Now()
 	case exchange.Ready:
 		c.fresh = e.Cold
 		c.Directory.Open()
@@ -447,7 +450,12 @@
 	if d.Span > gaugeLead {
 		c.Deadlines.At(now+d.Span-gaugeLead, c.Runner.AskGauges)
 	}
-	c.Deadlines.At(now+d.Span, func() { c.tell(rules.Due{Ref: d.Ref, Gauges: c.gauges}) })
+	c.Deadlines.At(now+d.Span, func() {
+		if c.Now()-c.gauged > gaugesMost { // guards against a link that is down, or an engine that hangs
+			c.gauges = c.Settings.Gauges(nil)
+		}
+		c.tell(rules.Due{Ref: d.Ref, Gauges: c.gauges})
+	})
 }
 
 func (c *Core) sweepIdle() {
@@ -480,11 +488,16 @@
 	if now < c.closeAt {
 		return
 	}
-	left, unsent := 0, 0
-	for _, f := range c.Fronts {
+	if !c.deaf {
 		// Not earlier: balancers hear of a drain late, and until then what comes on
 		// new connections can still be served.
-		f.StopListening()
+		c.deaf = true
+		for _, f := range c.Fronts {
+			f.StopListening()
+		}
+	}
+	left, unsent := 0, 0
+	for _, f := range c.Fronts {
 		l, u := f.CloseIdle(0)
 		left, unsent = left+l, unsent+u
 	}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -21,8 +21,9 @@
 const (
 	// The service closes what is idle for 10 s, and some hops on the way forget
 	// idle connections earlier. A call that meets such an end proves nothing.
-	idleMost = time.Second
-	freeMost = 16 // unused connections that are kept
+	idleMost  = time.Second
+	freeMost  = 16 // unused connections that are kept
+	strayMost = 16 // replies to nobody's call that one call may bring
 
 	dialsMost     = 5                     // of a call: the service may be on the move
 	dialAgain     = 20 * time.Millisecond // after the first, then twice as long each time
@@ -52,14 +53,15 @@
 // conn is a connection. It carries one call at a time: after a spoilt reply a
 // connection is of no use, and must not take other calls with it.
 type conn struct {
-	link *Link
-	addr string
-	sock *socket.Conn // nil until it is open
-	call *call        // nil while it is free
-	last string       // the trace of its latest call, of which copies may still come
-	gone bool
-	sent time.Duration // when its call was
-	due  *deadline.Entry
+	link  *Link
+	addr  string
+	sock  *socket.Conn // nil until it is open
+	call  *call        // nil while it is free
+	last  string       // the trace of its latest call, of which copies may still come
+	gone  bool
+	stray int           // replies that belong to no call, since its latest
+	sent  time.Duration // when its call was
+	due   *deadline.Entry
 }
 
 // Link is the exchange.Caller that speaks to the records service.
@@ -169,7 +171,7 @@
 
 func (c *conn) begin(k *call) {
 	l := c.link
-	c.call, c.last, c.sent, k.conn = k, k.Trace, l.Now(), c
+	c.call, c.last, c.stray, c.sent, k.conn = k, k.Trace, 0, l.Now(), c
 	k.sends++
 	line := fmt.Sprintf("OP %s %d %d", k.Trace, max(1, (k.until-c.sent).Milliseconds()), len(k.Body))
 	c.sock.Write(lines.Append(nil, line, k.Body, true))
@@ -284,7 +286,11 @@
 	case !ok:
 		c.lost(fmt.Errorf("%w: %q", errSpoilt, w))
 	case c.call == nil || c.call.Trace != w[0]:
-		// A copy, or the reply to what was never asked: it belongs to no call.
+		// A copy, or the reply to what was never asked: it belongs to no call. Guards
+		// against a service that has no end of them.
+		if c.stray++; c.stray > strayMost {
+			c.lost(fmt.Errorf("%w: %d that belong to no call", errSpoilt, c.stray))
+		}
 	default:
 		if end == exchange.OK { // a refusal comes sooner
 			c.link.took(c.link.Now() - c.sent)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -757,7 +757,7 @@
 // once it can't keep up all that is read is stale, whatever crowded it.
 func (c *Controller) adjustLimit(g Gauges) {
 	cores := c.set.Cores
-	free := int(math.Ceil(float64(cores) - g.OnCores - float64(c.n[calling])))
+	free := int(float64(cores) - g.OnCores - callWeight*float64(c.n[calling]))
 	switch {
 	case c.intake > intakeShare:
 		c.limit = max(1, cores/3, c.limit-1)
--- a/tests/links_test.go
+++ b/tests/links_test.go
@@ -89,6 +89,38 @@
 	assert.Equal(t, 1, e.heardOf("RUN "+unsafe))
 }
 
+// TestGaugesAge: gauges that came long ago say nothing of the cores: no more runs
+// are put on the cores, whatever idled then.
+func TestGaugesAge(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, func(cfg object) { cfg["settings"].(object)["family_info"].(object)["cores"] = 2 })
+	await(t, "gauges", func() bool {
+		w.engine.mu.Lock()
+		defer w.engine.mu.Unlock()
+		w.engine.blind = w.engine.gauged >= 3 // idle by its last gauges
+		return w.engine.blind
+	})
+	time.Sleep(1500 * time.Millisecond)
+	c := &callers{w: w, dial: protocols["mixed"], count: map[string]int{}}
+	for i := range 2 {
+		c.send("nom-submit", "hold")
+		await(t, "a run", func() bool { return w.engine.held() == i+1 })
+	}
+	for range 3 { // one a tick of the module, which finds both cores in use
+		c.send("nom-submit", "hold")
+		time.Sleep(300 * time.Millisecond)
+	}
+	assert.Equal(t, 2, w.engine.held())
+	w.engine.mu.Lock()
+	w.engine.blind = false
+	w.engine.mu.Unlock()
+	await(t, "growth, once the gauges say that cores idle", func() bool {
+		c.send("nom-submit", "hold")
+		time.Sleep(100 * time.Millisecond)
+		return w.engine.held() > 2
+	})
+}
+
 // TestEngineAway: what was never sent waits for the link, whatever its class.
 func TestEngineAway(t *testing.T) {
 	t.Parallel()
@@ -180,7 +212,8 @@
 	got := w.later("nom-submit", other, "call") // in hand all the while
 	await(t, "a call", func() bool { return w.records.heardOf("OP "+other) == 1 })
 	for _, raw := range []string{"\x00\xff\x07 noise\r\n", "%s DONE 3000000000\r\nxxxx", "%s DONE 3\r\nxxxx\r\n",
-		"%s DONE -1\r\n", "%s MAYBE\r\n", "%s WAIT 5\r\n", strings.Repeat("x", 2000)} {
+		"%s DONE -1\r\n", "%s MAYBE\r\n", "%s WAIT 5\r\n", strings.Repeat("x", 2000),
+		strings.Repeat("00000000deadbeef ERROR\r\n", 100)} {
 		w.records.set(raw)
 		ops := w.records.heardOf("OP")
 		assert.Equal(t, 500, w.status("nom-submit", "call"), raw)
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -261,6 +261,8 @@
 	holds   []string
 	heard   []string
 	deaf    bool // reads commands and does nothing
+	blind   bool // answers no STAT
+	gauged  int  // STATs that it answered
 }
 
 func newEngine(t *testing.T) *engine {
@@ -286,11 +288,12 @@
 		e.heard = append(e.heard, strings.Join(w, " "))
 	}
 	switch {
-	case e.deaf:
+	case e.deaf, e.blind && w[0] == "STAT":
 	case w[0] == "ATTACH":
 		n, _ := strconv.Atoi(w[1])
 		fmt.Fprintf(e.conn, "HELLO WARM 20000\r\n%s", strings.Join(e.notices[n:], ""))
 	case w[0] == "STAT":
+		e.gauged++
 		fmt.Fprintf(e.conn, "STATS %s 0.1 1 0.1 1\r\n", w[1])
 	case w[0] == "RUN" && e.active[w[1]]: // nothing happens
 	case w[0] == "RUN":
