Faults of a connection count one after the other, not over its whole life

Seen in reading: faults and skipped bytes were counted for as long as a connection lived (front.go, Base). A web server that passes on every caller's requests would have lost its connection, and all that was open on it, after its 17th caller's fault. A request that is answered on its merits now clears the count, and one that is read clears the skipped bytes.

--- a/internal/ajp/front.go
+++ b/internal/ajp/front.go
@@ -208,6 +208,7 @@
 	c.Lock()
 	k.request = req
 	c.Unlock()
+	c.Read()
 	if !c.front.x.Submit(req) {
 		c.front.log.Warn("request turned down: no room")
 		c.reply(k, front.Reply{Status: 503}, true)
@@ -224,7 +225,7 @@
 // Answer is called by the core.
 func (k *call) Answer(a exchange.Answer) {
 	k.conn.reply(k, front.Word(a), true)
-	if a.Fault && k.conn.Fault() != nil {
+	if !k.conn.Answered(a) {
 		k.conn.Close()
 	}
 }
--- a/internal/fastcgi/front.go
+++ b/internal/fastcgi/front.go
@@ -222,6 +222,7 @@
 	c.Lock()
 	k.request = req
 	c.Unlock()
+	c.Read()
 	if !c.front.x.Submit(req) {
 		c.front.log.Warn("request turned down: no room")
 		c.end(k, appendEnd(nil, k.id, statusOverloaded))
@@ -268,7 +269,7 @@
 // Answer is called by the core.
 func (k *call) Answer(a exchange.Answer) {
 	k.conn.reply(k, front.Word(a))
-	if a.Fault && k.conn.Fault() != nil {
+	if !k.conn.Answered(a) {
 		k.conn.Close()
 	}
 }
--- a/tests/guards_test.go
+++ b/tests/guards_test.go
@@ -29,6 +29,13 @@
 	return c
 }
 
+func must(c *ajp, err error) *ajp {
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
 // ended waits for the close of the connection.
 func ended(t *testing.T, c net.Conn, what string) {
 	_, err := io.Copy(io.Discard, c)
@@ -141,6 +148,7 @@
 			c.Close()
 		}
 	}
+	assert.Equal(t, runs, w.engine.heardOf("RUN"))
 	c, err := dialFCGI(w.fcgi)
 	require.NoError(t, err)
 	fields := fieldsOf(newTrace())
@@ -148,6 +156,17 @@
 	a, err := c.do("/call/nom-submit", fields, []byte("ok"))
 	require.NoError(t, err)
 	assert.Equal(t, 400, a.status)
+	for _, d := range []client{c, must(dialAJP(w.ajp))} {
+		for i := range 20 { // a connection that serves others too is kept
+			a, err := d.do("/call/other", fieldsOf(newTrace()), nil)
+			require.NoError(t, err, i)
+			assert.Equal(t, 400, a.status)
+			a, err = d.do("/call/nom-submit", fieldsOf(newTrace()), []byte("ok"))
+			require.NoError(t, err, i)
+			assert.Equal(t, 200, a.status)
+		}
+	}
+	runs = w.engine.heardOf("RUN")
 	for i := 0; ; i++ {
 		require.Less(t, i, 100, "a caller of nothing but faults")
 		if _, err := c.do("/call/other", fieldsOf(newTrace()), nil); err != nil {
