Durable store: log, index, checkpoints, compaction, recovery and repair

Need: what must outlive the process (Raft log, kept configuration, keyed results) has only bbolt behind raft-boltdb. Change: internal/durable, an ordered store over a segmented log with group commit, persistent index (tidwall/btree), two checkpoints, compaction and repair; internal/durable/plan decides upkeep without I/O or clock; all files go through internal/durable/vfs, and faultfs fails and crashes on cue. Seen by TestReusedBlock: a checksum over bytes that end with their own CRC is the same for all of one length, so the chain bound nothing; sums of operations are now masked.

--- /dev/null
+++ b/internal/durable/crash_test.go
@@ -0,0 +1,142 @@
+package durable
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"oxbowbridge/internal/durable/faultfs"
+)
+
+var full = flag.Bool("full", false, "run the long form of the sweeps")
+
+// TestCrashAtEveryStep stops the machine at each I/O step of the day, with all, none
+// or any part of what no sync covered on disk, and again at each step of the
+// recovery. What was acknowledged is there, and nothing is half there.
+func TestCrashAtEveryStep(t *testing.T) {
+	sound := &faultfs.FS{}
+	b, err := newBed(t, sound, small())
+	require.NoError(t, err)
+	require.NoError(t, b.day())
+	require.NoError(t, b.s.Close())
+	steps := sound.Steps()
+	require.Greater(t, steps, 300)
+	seeds := uint64(4)
+	if *full {
+		seeds = 40
+	}
+	parallel(t, steps, func(k int) {
+		for _, fault := range []faultfs.Fault{faultfs.Crash, faultfs.EIO, faultfs.Short} {
+			f := &faultfs.FS{At: func(step int, _, _ string) faultfs.Fault {
+				if step == k+1 {
+					return fault
+				}
+				return faultfs.None
+			}}
+			b, err := newBed(t, f, small())
+			if err == nil {
+				if err = b.day(); err == nil {
+					err = b.s.Close()
+				} else {
+					b.s.Close()
+				}
+			}
+			if fault == faultfs.Crash && err == nil {
+				t.Errorf("step %d: nobody noticed", k+1)
+			}
+			for seed := range seeds {
+				keep := []float64{0.5, 0, 1, 0.9}[seed%4]
+				g := f.Crashed(rand.New(rand.NewPCG(uint64(k), seed)), keep)
+				if seed%4 == 0 && fault == faultfs.Crash {
+					crashAgain(t, b, g, seed)
+				}
+				reopened(t, b, g, fmt.Sprintf("%v at step %d, seed %d", fault, k+1, seed))
+			}
+		}
+	})
+}
+
+// crashAgain stops the recovery at its first, second, third... step.
+func crashAgain(t *testing.T, b *bed, g *faultfs.FS, seed uint64) {
+	image := g.Image()
+	for k := 1; ; k++ {
+		h := faultfs.FromImage(image)
+		h.At = func(step int, _, _ string) faultfs.Fault {
+			if step == k {
+				return faultfs.Crash
+			}
+			return faultfs.None
+		}
+		s, _, err := Open(h, small())
+		if err == nil {
+			h.At = nil
+			s.Close()
+			return
+		}
+		reopened(t, b, h.Crashed(rand.New(rand.NewPCG(uint64(k), seed)), 0.5), fmt.Sprintf("recovery, step %d", k))
+	}
+}
+
+// reopened checks that a folder opens without a word of damage, in a state that is
+// not older than what was acknowledged.
+func reopened(t *testing.T, b *bed, f *faultfs.FS, when string) {
+	s, r, err := Open(f, small())
+	if err != nil {
+		t.Errorf("%s: %v", when, err)
+		return
+	}
+	defer s.Close()
+	got, damaged := state(t, s)
+	if damaged > 0 {
+		t.Errorf("%s: %d values are damaged", when, damaged)
+	}
+	if r.Loss == AcknowledgedLoss || !slices.Contains(b.states[b.acked:], got) {
+		t.Errorf("%s: not a state from %d on: %s\n%+v", when, b.acked, got, r)
+	}
+	if err := s.Put([]byte("after"), []byte(val(1, 30))); err != nil {
+		t.Errorf("%s: %v", when, err)
+	}
+}
+
+// parallel runs n cases on all cores.
+func parallel(t *testing.T, n int, do func(i int)) {
+	var wg sync.WaitGroup
+	var next atomic.Int64
+	for range runtime.GOMAXPROCS(0) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := int(next.Add(1)) - 1; i < n && !t.Failed(); i = int(next.Add(1)) - 1 {
+				do(i)
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// TestKilledThenCrashed: a process is killed with a buffered batch that no sync
+// covered; the next one shows it to readers, so a crash of the machine may not take
+// it back.
+func TestKilledThenCrashed(t *testing.T) {
+	f := &faultfs.FS{}
+	b, err := newBed(t, f, small())
+	require.NoError(t, err)
+	require.NoError(t, b.apply(Buffered, change{put: map[string]string{"a": "1"}}))
+	b.s.lock.Close() // as the system does
+	s, _, err := Open(f, small())
+	require.NoError(t, err)
+	v, err := s.Get([]byte("a"), 0)
+	require.NoError(t, err)
+	require.Equal(t, "1", string(v))
+	s, _, err = Open(f.Crashed(rand.New(rand.NewPCG(1, 1)), 0), small())
+	require.NoError(t, err)
+	_, err = s.Get([]byte("a"), 0)
+	require.NoError(t, err)
+}
--- /dev/null
+++ b/internal/durable/files.go
@@ -0,0 +1,231 @@
+package durable
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"oxbowbridge/internal/durable/vfs"
+)
+
+// The names of a store's files.
+const (
+	manifestName = "MANIFEST"
+	manifestTemp = "MANIFEST.tmp"
+	lockName     = "LOCK"
+	reserveName  = "RESERVE"
+	logSuffix    = ".log"
+	ckpSuffix    = ".ckp"
+	setAside     = "damaged-" // prefix of what repair took out of use
+)
+
+func logName(n uint32) string { return fmt.Sprintf("%08d%s", n, logSuffix) }
+func ckpName(n uint32) string { return fmt.Sprintf("%08d%s", n, ckpSuffix) }
+
+// numbered reads a name of the store's own form.
+func numbered(name, suffix string) (uint32, bool) {
+	digits, ok := strings.CutSuffix(name, suffix)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(digits, 10, 32)
+	if err != nil || n == 0 || ckpName(uint32(n)) != digits+ckpSuffix {
+		return 0, false
+	}
+	return uint32(n), true
+}
+
+const (
+	segMagic  = "oxbwLOG\n"
+	headerLen = 64
+)
+
+// segHeader is at the start of a segment of the log.
+type segHeader struct {
+	store     uint64
+	number    uint32
+	prevSize  int64  // of the segment before
+	prevSeq   uint64 // last batch before this segment
+	prevChain uint32 // checksum of that batch's header
+	sum       uint32 // of this header: the first batch's chain
+}
+
+func (h *segHeader) encode() []byte {
+	b := make([]byte, headerLen)
+	e := binary.LittleEndian
+	copy(b, segMagic)
+	e.PutUint32(b[8:], formatVersion)
+	e.PutUint64(b[12:], h.store)
+	e.PutUint32(b[20:], h.number)
+	e.PutUint64(b[24:], uint64(h.prevSize))
+	e.PutUint64(b[32:], h.prevSeq)
+	e.PutUint32(b[40:], h.prevChain)
+	h.sum = sum(saltOf(h.store, 'l', h.number), b[:headerLen-sumLen])
+	e.PutUint32(b[headerLen-sumLen:], h.sum)
+	return b
+}
+
+func parseSegHeader(b []byte, name string) (segHeader, error) {
+	if len(b) < headerLen {
+		return segHeader{}, faulty(name, 0, "header is cut short")
+	}
+	e := binary.LittleEndian
+	if string(b[:8]) != segMagic {
+		return segHeader{}, faulty(name, 0, "not a segment of a log")
+	}
+	h := segHeader{store: e.Uint64(b[12:]), number: e.Uint32(b[20:]), prevSize: int64(e.Uint64(b[24:])),
+		prevSeq: e.Uint64(b[32:]), prevChain: e.Uint32(b[40:]), sum: e.Uint32(b[headerLen-sumLen:])}
+	if h.sum != sum(saltOf(h.store, 'l', h.number), b[:headerLen-sumLen]) {
+		return segHeader{}, faulty(name, 0, "header's checksum is wrong")
+	}
+	if v := e.Uint32(b[8:]); v != formatVersion {
+		return segHeader{}, faulty(name, 8, "format %d, want %d", v, formatVersion)
+	}
+	return h, nil
+}
+
+const (
+	manifestMagic = "oxbwMAN\n"
+	manifestLen   = 128
+	keptCkps      = 2
+)
+
+// position is a place in the log, between two batches.
+type position struct {
+	segment uint32
+	offset  int64
+	seq     uint64 // of the batch before
+	chain   uint32
+}
+
+// ckpRef is what the manifest knows of a checkpoint; number 0 is none.
+type ckpRef struct {
+	number uint32
+	seq    uint64
+	size   int64
+}
+
+// manifest says which files count. It is replaced whole.
+type manifest struct {
+	store      uint64
+	generation uint64
+	active     uint32 // the segment that is written to, or its successor
+	floor      uint64 // all batches up to this one were on disk
+	first      uint32 // the segment that replay without a checkpoint begins at; 0 if that can't be
+	ckps       [keptCkps]ckpRef
+}
+
+func (m *manifest) encode() []byte {
+	b := make([]byte, manifestLen)
+	e := binary.LittleEndian
+	copy(b, manifestMagic)
+	e.PutUint32(b[8:], formatVersion)
+	e.PutUint64(b[12:], m.store)
+	e.PutUint64(b[20:], m.generation)
+	e.PutUint32(b[28:], m.active)
+	e.PutUint64(b[32:], m.floor)
+	e.PutUint32(b[40:], m.first)
+	for i, c := range m.ckps {
+		at := b[44+20*i:]
+		e.PutUint32(at, c.number)
+		e.PutUint64(at[4:], c.seq)
+		e.PutUint64(at[12:], uint64(c.size))
+	}
+	e.PutUint32(b[manifestLen-sumLen:], sum(saltOf(m.store, 'm', 0), b[:manifestLen-sumLen]))
+	return b
+}
+
+func parseManifest(b []byte) (*manifest, error) {
+	e := binary.LittleEndian
+	if len(b) != manifestLen {
+		return nil, faulty(manifestName, 0, "%d bytes long, want %d", len(b), manifestLen)
+	}
+	if string(b[:8]) != manifestMagic {
+		return nil, faulty(manifestName, 0, "not a manifest")
+	}
+	m := &manifest{store: e.Uint64(b[12:]), generation: e.Uint64(b[20:]), active: e.Uint32(b[28:]), floor: e.Uint64(b[32:]),
+		first: e.Uint32(b[40:])}
+	for i := range m.ckps {
+		at := b[44+20*i:]
+		m.ckps[i] = ckpRef{e.Uint32(at), e.Uint64(at[4:]), int64(e.Uint64(at[12:]))}
+	}
+	if e.Uint32(b[manifestLen-sumLen:]) != sum(saltOf(m.store, 'm', 0), b[:manifestLen-sumLen]) {
+		return nil, faulty(manifestName, 0, "checksum is wrong")
+	}
+	if v := e.Uint32(b[8:]); v != formatVersion {
+		return nil, faulty(manifestName, 8, "format %d, want %d", v, formatVersion)
+	}
+	return m, nil
+}
+
+// write replaces the manifest: a new file, synced, renamed, and the folder synced.
+func (m *manifest) write(fs vfs.FS) error {
+	m.generation++
+	if err := writeFile(fs, manifestTemp, m.encode()); err != nil {
+		return err
+	}
+	if err := fs.Rename(manifestTemp, manifestName); err != nil {
+		return fmt.Errorf("manifest: %w", err)
+	}
+	if err := fs.SyncDir(); err != nil {
+		return fmt.Errorf("manifest: folder: %w", err)
+	}
+	return nil
+}
+
+// writeFile makes a small file and syncs it, but not its name.
+func writeFile(fs vfs.FS, name string, data []byte) error {
+	f, err := fs.Create(name)
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	_, err = f.WriteAt(data, 0)
+	if err == nil {
+		if err = f.Sync(); err != nil {
+			err = syncError{err}
+		}
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	return nil
+}
+
+// syncError marks a sync that failed: what was written before it is in doubt.
+type syncError struct{ err error }
+
+func (e syncError) Error() string { return "sync: " + e.err.Error() }
+func (e syncError) Unwrap() error { return e.err }
+
+// readFile reads a file of at most so many bytes.
+func readFile(fs vfs.FS, name string, most int64) ([]byte, error) {
+	f, err := fs.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	size, err := f.Size()
+	if err != nil {
+		return nil, err
+	}
+	b := make([]byte, min(size, most))
+	return b, readFull(f, b, 0)
+}
+
+// readFull reads exactly len(b) bytes.
+func readFull(f io.ReaderAt, b []byte, off int64) error {
+	n, err := f.ReadAt(b, off)
+	if n == len(b) {
+		return nil
+	}
+	if err == nil || errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return err
+}
--- /dev/null
+++ b/internal/durable/vfs/dir.go
@@ -0,0 +1,142 @@
+package vfs
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// Dir is a folder of the operating system.
+type Dir struct {
+	path     string
+	readOnly bool
+}
+
+// NewDir makes the folder if it is missing; its parent must be there.
+func NewDir(path string) (*Dir, error) {
+	if err := os.Mkdir(path, 0o700); err != nil && !errors.Is(err, fs.ErrExist) {
+		return nil, err
+	}
+	return &Dir{path: path}, checkDir(path)
+}
+
+// ReadDir is a folder in which nothing is changed: its files are opened for
+// reading only, and the lock is taken only if its file is there.
+func ReadDir(path string) (*Dir, error) {
+	return &Dir{path: path, readOnly: true}, checkDir(path)
+}
+
+func checkDir(path string) error {
+	switch info, err := os.Stat(path); {
+	case err != nil:
+		return err
+	case !info.IsDir():
+		return fmt.Errorf("%s: %w", path, syscall.ENOTDIR)
+	}
+	return nil
+}
+
+func (d *Dir) at(name string) string { return filepath.Join(d.path, name) }
+
+func (d *Dir) Open(name string) (File, error) {
+	mode := os.O_RDWR
+	if d.readOnly {
+		mode = os.O_RDONLY
+	}
+	return opened(os.OpenFile(d.at(name), mode, 0))
+}
+
+func (d *Dir) Create(name string) (File, error) {
+	if d.readOnly {
+		return nil, &fs.PathError{Op: "create", Path: d.at(name), Err: syscall.EROFS}
+	}
+	return opened(os.OpenFile(d.at(name), os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600))
+}
+
+func (d *Dir) Remove(name string) error     { return os.Remove(d.at(name)) }
+func (d *Dir) Rename(from, to string) error { return os.Rename(d.at(from), d.at(to)) }
+
+func (d *Dir) List() ([]Info, error) {
+	entries, err := os.ReadDir(d.path)
+	if err != nil {
+		return nil, err
+	}
+	var list []Info
+	for _, e := range entries {
+		if !e.Type().IsRegular() {
+			continue
+		}
+		info, err := e.Info()
+		if errors.Is(err, fs.ErrNotExist) {
+			continue // removed meanwhile
+		}
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, Info{Name: e.Name(), Size: info.Size()})
+	}
+	return list, nil
+}
+
+func (d *Dir) SyncDir() error {
+	f, err := os.Open(d.path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+// Lock holds an advisory lock (flock), which ends with the process that took it.
+func (d *Dir) Lock(name string) (io.Closer, error) {
+	mode := os.O_RDWR | os.O_CREATE
+	if d.readOnly {
+		mode = os.O_RDONLY
+	}
+	f, err := os.OpenFile(d.at(name), mode, 0o600)
+	if d.readOnly && errors.Is(err, fs.ErrNotExist) {
+		return io.NopCloser(nil), nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, fmt.Errorf("%s: %w", d.path, ErrLocked)
+		}
+		return nil, err
+	}
+	return f, nil
+}
+
+type osFile struct{ *os.File }
+
+func opened(f *os.File, err error) (File, error) {
+	if err != nil {
+		return nil, err
+	}
+	return osFile{f}, nil
+}
+
+// Sync writes the data and the length; times of access need not last.
+func (f osFile) Sync() error {
+	for {
+		err := syscall.Fdatasync(int(f.Fd()))
+		if !errors.Is(err, syscall.EINTR) {
+			return err
+		}
+	}
+}
+
+func (f osFile) Size() (int64, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
