--- a/internal/durable/checkpoint.go
+++ b/internal/durable/checkpoint.go
@@ -263,7 +263,7 @@
 	if h, err = parseCkpHeader(b, name); err != nil {
 		return h, err
 	}
-	if h.store != store || h.number != ref.number || h.at.seq != ref.seq {
+	if h.store != store || h.number != ref.number || h.at.seq != ref.seq || h.at.segment != ref.segment {
 		return h, faulty(name, 12, "belongs to another store or another time")
 	}
 	chain := binary.LittleEndian.Uint32(b[headerLen-sumLen:])
--- a/internal/durable/commit.go
+++ b/internal/durable/commit.go
@@ -174,7 +174,7 @@
 			panic("durable: " + err.Error())
 		}
 	}
-	s.seq, s.log.seg.size, s.log.seg.last = end.seq, end.offset, end.seq
+	s.seq, s.log.seg.size = end.seq, end.offset
 	s.live.Store(s.idx.live)
 	s.mu.Unlock()
 	if cap(s.log.buf) > 4*s.o.GroupBytes {
@@ -324,7 +324,7 @@
 	if err != nil {
 		return s.fail(err)
 	}
-	seg := &segment{number: h.number, file: f, size: headerLen, salt: saltOf(h.store, 'l', h.number), last: at.seq, deadSince: at.seq}
+	seg := &segment{number: h.number, file: f, size: headerLen, salt: saltOf(h.store, 'l', h.number), deadSince: at.seq}
 	s.mu.Lock()
 	old.sealed = true
 	if old.refs == 0 {
--- a/internal/durable/corrupt_test.go
+++ b/internal/durable/corrupt_test.go
@@ -19,7 +19,7 @@
 func folders(t *testing.T) (b *bed, images map[string]map[string][]byte) {
 	f, o := &faultfs.FS{}, small()
 	o.ReserveBytes = 1
-	b, err := newBed(t, f, o)
+	b, err := newBed(f, o)
 	require.NoError(t, err)
 	require.NoError(t, b.day())
 	for i := 0; b.s.upkeep.comp == nil || b.s.upkeep.comp.at <= headerLen; i++ {
@@ -172,7 +172,7 @@
 	o := small()
 	o.StoreID = 0xd1ff
 	f := &faultfs.FS{}
-	other, err := newBed(t, f, o)
+	other, err := newBed(f, o)
 	require.NoError(t, err)
 	require.NoError(t, other.day())
 	require.NoError(t, other.s.Close())
--- a/internal/durable/crash_test.go
+++ b/internal/durable/crash_test.go
@@ -22,7 +22,7 @@
 // recovery. What was acknowledged is there, and nothing is half there.
 func TestCrashAtEveryStep(t *testing.T) {
 	sound := &faultfs.FS{}
-	b, err := newBed(t, sound, small())
+	b, err := newBed(sound, small())
 	require.NoError(t, err)
 	require.NoError(t, b.day())
 	require.NoError(t, b.s.Close())
@@ -40,7 +40,7 @@
 				}
 				return faultfs.None
 			}}
-			b, err := newBed(t, f, small())
+			b, err := newBed(f, small())
 			if err == nil {
 				if err = b.day(); err == nil {
 					err = b.s.Close()
@@ -126,7 +126,7 @@
 // it back.
 func TestKilledThenCrashed(t *testing.T) {
 	f := &faultfs.FS{}
-	b, err := newBed(t, f, small())
+	b, err := newBed(f, small())
 	require.NoError(t, err)
 	require.NoError(t, b.apply(Buffered, change{put: map[string]string{"a": "1"}}))
 	b.s.lock.Close() // as the system does
--- a/internal/durable/durable_test.go
+++ b/internal/durable/durable_test.go
@@ -27,7 +27,6 @@
 
 // bed is a store on a folder in memory, with all states that it went through.
 type bed struct {
-	t      testing.TB
 	s      *Store
 	model  map[string]string
 	states []string // one for each batch that was handed over
@@ -35,9 +34,9 @@
 	now    time.Duration
 }
 
-func newBed(t testing.TB, fs vfs.FS, o Options) (*bed, error) {
+func newBed(fs vfs.FS, o Options) (*bed, error) {
 	s, _, err := Open(fs, o)
-	return &bed{t: t, s: s, model: map[string]string{}, states: []string{""}}, err
+	return &bed{s: s, model: map[string]string{}, states: []string{""}}, err
 }
 
 func canon(m map[string]string) string {
@@ -110,7 +109,7 @@
 }
 
 // state reads everything; keys whose value is damaged are left out, and counted.
-func state(t testing.TB, s *Store) (text string, damaged int) {
+func state(t require.TestingT, s *Store) (text string, damaged int) {
 	p, err := s.Snapshot()
 	require.NoError(t, err)
 	defer p.Close()
@@ -225,7 +224,7 @@
 // TestDay: the day on a sound folder uses every part, and space is given back.
 func TestDay(t *testing.T) {
 	f := &faultfs.FS{}
-	b, err := newBed(t, f, small())
+	b, err := newBed(f, small())
 	require.NoError(t, err)
 	require.NoError(t, b.day())
 	got, damaged := state(t, b.s)
@@ -294,7 +293,7 @@
 			} else {
 				o.Upkeep.MaxBytes = 24 << 10
 			}
-			b, err := newBed(t, f, o)
+			b, err := newBed(f, o)
 			require.NoError(t, err)
 			require.NoError(t, b.upkeep(3))
 			n := 0
--- a/internal/durable/files.go
+++ b/internal/durable/files.go
@@ -103,9 +103,10 @@
 
 // ckpRef is what the manifest knows of a checkpoint; number 0 is none.
 type ckpRef struct {
-	number uint32
-	seq    uint64
-	size   int64
+	number  uint32
+	seq     uint64
+	size    int64
+	segment uint32 // where the log behind it begins
 }
 
 // manifest says which files count. It is replaced whole.
@@ -129,10 +130,11 @@
 	e.PutUint64(b[32:], m.floor)
 	e.PutUint32(b[40:], m.first)
 	for i, c := range m.ckps {
-		at := b[44+20*i:]
+		at := b[44+24*i:]
 		e.PutUint32(at, c.number)
 		e.PutUint64(at[4:], c.seq)
 		e.PutUint64(at[12:], uint64(c.size))
+		e.PutUint32(at[20:], c.segment)
 	}
 	e.PutUint32(b[manifestLen-sumLen:], sum(saltOf(m.store, 'm', 0), b[:manifestLen-sumLen]))
 	return b
@@ -149,8 +151,8 @@
 	m := &manifest{store: e.Uint64(b[12:]), generation: e.Uint64(b[20:]), active: e.Uint32(b[28:]), floor: e.Uint64(b[32:]),
 		first: e.Uint32(b[40:])}
 	for i := range m.ckps {
-		at := b[44+20*i:]
-		m.ckps[i] = ckpRef{e.Uint32(at), e.Uint64(at[4:]), int64(e.Uint64(at[12:]))}
+		at := b[44+24*i:]
+		m.ckps[i] = ckpRef{e.Uint32(at), e.Uint64(at[4:]), int64(e.Uint64(at[12:])), e.Uint32(at[20:])}
 	}
 	if e.Uint32(b[manifestLen-sumLen:]) != sum(saltOf(m.store, 'm', 0), b[:manifestLen-sumLen]) {
 		return nil, faulty(manifestName, 0, "checksum is wrong")
--- a/internal/durable/index.go
+++ b/internal/durable/index.go
@@ -57,7 +57,6 @@
 	file       vfs.File
 	size       int64 // up to the end of the last good batch
 	salt       uint32
-	last       uint64 // its last batch
 	live       int64
 	refs       int64
 	deadSince  uint64
--- a/internal/durable/plan/plan.go
+++ b/internal/durable/plan/plan.go
@@ -8,7 +8,6 @@
 	Bytes      int64
 	Live       int64  // bytes of the values that the index points to here
 	Refs       int64  // how many they are
-	LastSeq    uint64 // its last batch
 	DeadSince  uint64 // the batch that took its last live value
 	Sealed     bool
 	Unreadable bool // compaction met damage in it
@@ -25,19 +24,20 @@
 
 // Facts are all that a decision rests on.
 type Facts struct {
-	Now                time.Duration // since any fixed moment
-	Segments           []Segment     // in the order of their numbers
-	Seq                uint64        // the last batch
-	OlderSeq, NewerSeq uint64        // those of the two checkpoints; 0 if missing
-	OldestSnapshot     uint64        // of those that are open; Seq if none is
-	UnsyncedSince      time.Duration // when the oldest buffered write came
-	Unsynced           bool
-	LogBehind          int64 // bytes of log after the newest checkpoint
-	Space              Space
-	Task               Task
-	Failed             bool // the last step failed, since Now of the one before
-	ReserveMissing     bool
-	Eager              bool // an operator wants all space back now
+	Now            time.Duration // since any fixed moment
+	Segments       []Segment     // in the order of their numbers
+	Seq            uint64        // the last batch
+	OlderSeq       uint64        // of the older of the two checkpoints; 0 if there is none
+	OlderSegment   uint32        // where the log behind it begins
+	OldestSnapshot uint64        // of those that are open; Seq if none is
+	UnsyncedSince  time.Duration // when the oldest buffered write came
+	Unsynced       bool
+	LogBehind      int64 // bytes of log after the newest checkpoint
+	Space          Space
+	Task           Task
+	Failed         bool // the last step failed, since Now of the one before
+	ReserveMissing bool
+	Eager          bool // an operator wants all space back now
 }
 
 // Kind is what to do.
@@ -171,7 +171,7 @@
 // with the log behind it, nor an open snapshot needs.
 func droppable(f Facts) (uint32, bool) {
 	for _, s := range f.Segments {
-		if s.Sealed && s.Refs == 0 && s.LastSeq <= f.OlderSeq && s.DeadSince <= f.OlderSeq && s.DeadSince <= f.OldestSnapshot {
+		if s.Sealed && s.Refs == 0 && s.Number < f.OlderSegment && s.DeadSince <= f.OlderSeq && s.DeadSince <= f.OldestSnapshot {
 			return s.Number, true
 		}
 	}
--- a/internal/durable/recover.go
+++ b/internal/durable/recover.go
@@ -102,7 +102,7 @@
 		}
 		if h, err := parseCkpHeader(b, ckpName(n)); err == nil && h.number == n {
 			r.man.store = h.store
-			refs = append(refs, ckpRef{n, h.at.seq, r.files[ckpName(n)]})
+			refs = append(refs, ckpRef{n, h.at.seq, r.files[ckpName(n)], h.at.segment})
 		}
 	}
 	slices.SortFunc(refs, func(a, b ckpRef) int { return int(int64(a.number) - int64(b.number)) })
@@ -258,7 +258,6 @@
 		return r.idx.apply(s.number, at, f, payload)
 	})
 	r.behind += r.end.offset - begin
-	s.last = r.end.seq
 	if err != nil {
 		return false, fmt.Errorf("%s: %w", name, err)
 	}
@@ -376,10 +375,7 @@
 	if r.idx == nil {
 		return
 	}
-	for n, s := range r.idx.segs {
-		if n < r.end.segment && s.last == 0 { // before the checkpoint
-			s.last = r.end.seq
-		}
+	for _, s := range r.idx.segs {
 		if s.refs == 0 {
 			s.deadSince = r.end.seq
 		}
--- a/internal/durable/repair.go
+++ b/internal/durable/repair.go
@@ -67,7 +67,7 @@
 		if err := w.file.Close(); err != nil {
 			return fmt.Errorf("repair: %w", err)
 		}
-		next.ckps[i] = ckpRef{head.number, at.seq, w.size}
+		next.ckps[i] = ckpRef{head.number, at.seq, w.size, at.segment}
 		if _, err := readCheckpoint(fsys, next.ckps[i], head.store, func(entry) {}); err != nil {
 			return fmt.Errorf("repair: %w", err)
 		}
--- a/internal/durable/upkeep.go
+++ b/internal/durable/upkeep.go
@@ -150,7 +150,7 @@
 		f.Task = plan.Compacting
 	}
 	s.manMu.Lock()
-	f.OlderSeq, f.NewerSeq = s.man.ckps[0].seq, s.man.ckps[1].seq
+	f.OlderSeq, f.OlderSegment = s.man.ckps[0].seq, s.man.ckps[0].segment
 	s.manMu.Unlock()
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -159,7 +159,7 @@
 		f.OldestSnapshot = min(f.OldestSnapshot, p.seq)
 	}
 	for _, g := range s.idx.segs {
-		f.Segments = append(f.Segments, plan.Segment{Number: g.number, Bytes: g.size, Live: g.live, Refs: g.refs, LastSeq: g.last,
+		f.Segments = append(f.Segments, plan.Segment{Number: g.number, Bytes: g.size, Live: g.live, Refs: g.refs,
 			DeadSince: g.deadSince, Sealed: g.sealed, Unreadable: g.unreadable})
 	}
 	slices.SortFunc(f.Segments, func(a, b plan.Segment) int { return int(int64(a.Number) - int64(b.Number)) })
@@ -288,7 +288,7 @@
 		return u.ckpFailed(syncError{err})
 	}
 	// Only one that was read back whole takes the place of the one before the last.
-	ref := ckpRef{w.head.number, w.head.at.seq, w.size}
+	ref := ckpRef{w.head.number, w.head.at.seq, w.size, w.head.at.segment}
 	if _, err := readCheckpoint(s.fs, ref, s.storeID, func(entry) {}); err != nil {
 		if s.fs.Remove(ckpName(ref.number)) == nil {
 			s.used.Add(-w.size)
