Sub-commands on cobra: serve, config check, version, try and durable

Need: the store wants a command line that operators can load, dump, verify, compact and repair a folder with, and a newcomer one command that shows the service at work. Change: cobra round the program (without a sub-command it serves as before); try runs the service with internal/toy's engine, records service and caller, which examples/toy now shares; durable dump, verify and stat read without changing a byte.

--- a/cmd/oxbowbridge/config.go
+++ b/cmd/oxbowbridge/config.go
@@ -58,6 +58,10 @@
 	if err != nil {
 		return nil, fault("BALANCER_CONFIG", "%w", err)
 	}
+	return parseConfig(text, env)
+}
+
+func parseConfig(text []byte, env func(string) string) (*config, error) {
 	var c config
 	if err := wire.Decode(text, &c); err != nil {
 		return nil, err
--- a/cmd/oxbowbridge/main.go
+++ b/cmd/oxbowbridge/main.go
@@ -1,220 +1,103 @@
 // Oxbowbridge is the real service: one program on sockets, round the decision
-// module in rules/. It exits with 0 after a drain, 2 on a bad configuration and
-// 1 on any other failure to start.
+// module in rules/. Without a sub-command it serves. It exits with 0 after a drain
+// or a command that went well, 2 on a bad configuration or a bad call, 3 if a
+// durable store's acknowledged data may be missing, and 1 on any other failure.
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
-	"os/signal"
-	"runtime"
 	"runtime/debug"
-	"syscall"
-	"time"
 
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-
-	"oxbowbridge/internal/ajp"
-	"oxbowbridge/internal/core"
-	"oxbowbridge/internal/deadline"
-	"oxbowbridge/internal/directory"
-	"oxbowbridge/internal/engine"
-	"oxbowbridge/internal/exchange"
-	"oxbowbridge/internal/fastcgi"
-	"oxbowbridge/internal/link"
-	"oxbowbridge/internal/records"
-	"oxbowbridge/internal/socket"
-)
-
-const (
-	memoryShare  = 0.6 // of memory_mb that Go's heap is told to stay under
-	requestKB    = 8   // what an open request takes here: body, result, bookkeeping
-	requestShare = 3   // a third of memory_mb may be open requests
-	callShare    = 8   // an eighth of the descriptors may be calls in hand
-	linesMost    = 50  // of one message in a second, after which
-	linesThen    = 100 // only one of so many is written
+	"github.com/spf13/cobra"
 )
 
-var errConfig = errors.New("configuration")
-
 func main() {
-	if err := run(os.Getenv); err != nil {
-		fmt.Fprintln(os.Stderr, "oxbowbridge:", err)
-		if errors.Is(err, errConfig) {
-			os.Exit(2)
-		}
-		os.Exit(1)
-	}
+	err := rootCommand().Execute()
+	if err == nil {
+		return
+	}
+	code := codeFailed
+	var exit *exitError
+	switch {
+	case errors.As(err, &exit):
+		code = exit.code
+	case errors.Is(err, errConfig):
+		code = codeBadCall
+	}
+	fmt.Fprintln(os.Stderr, "oxbowbridge:", err)
+	os.Exit(code)
 }
 
-func run(env func(string) string) error {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP) // guards against a SIGHUP that ends the program, from the first moment on
-	cfg, err := readConfig(env)
-	if err != nil {
-		return fmt.Errorf("%w: %w", errConfig, err)
-	}
-	debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB) * memoryShare * (1 << 20)))
-	runtime.GOMAXPROCS(2) // the core's goroutine and the event loop
-	level := zap.NewAtomicLevel()
-	log := logger(level).With(zap.String("name", cfg.Name))
-	defer log.Sync()
-	notice, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer release()
-	kept, err := openKeeper(notice, cfg, level, log)
-	if err != nil {
-		return err
-	}
-	defer kept.close()
-	s, err := wireUp(cfg, log)
-	if err != nil {
-		return err
-	}
-	kept.say("open")
-	go func() {
-		for {
-			select {
-			case <-hangup:
-				cfg = s.reload(cfg, env)
-			case <-notice.Done():
-				kept.say("draining")
-				stop := time.Duration(cfg.StopMS)*time.Millisecond - kept.closing()
-				s.x.Post(exchange.Step(func() { s.core.Drain(stop) }))
-				return
-			}
-		}
-	}()
-	s.core.Run()
-	return nil
-}
-
-// service is the program's parts once they are connected.
-type service struct {
-	core  *core.Core
-	x     *exchange.Exchange
-	log   *zap.Logger
-	moves func(*config) // to other addresses, in the core's goroutine
-}
-
-// reload reads the file again, and returns the configuration that is in force.
-// One that would not start changes nothing.
-func (s *service) reload(old *config, env func(string) string) *config {
-	cfg, err := readConfig(env)
-	if err != nil {
-		s.log.Error("configuration not taken", zap.Error(err))
-		return old
-	}
-	s.x.Post(exchange.Step(func() { s.moves(cfg) }))
-	s.log.Info("configuration taken", zap.Strings("changed", old.changes(cfg, true)),
-		zap.Strings("at_next_start", old.changes(cfg, false)))
-	cfg.stored = old.stored
-	return cfg
-}
-
-// wireUp makes the parts and connects them.
-func wireUp(cfg *config, log *zap.Logger) (*service, error) {
-	loop, err := socket.New()
-	if err != nil {
-		return nil, err
-	}
-	began := time.Now()
-	seed, _ := cfg.seed() // readConfig tried it
-	x := exchange.New(int(cfg.Limits.MemoryMB) << 10 / requestKB / requestShare)
-	classes := map[string]int{}
-	for i, k := range cfg.Settings.Classes {
-		classes[k.Name] = i
-	}
-	p := core.Parts{Exchange: x, Deadlines: &deadline.Set{}, Log: log, Seed: seed, Settings: &cfg.Settings,
-		Now: func() time.Duration { return time.Since(began) }}
-	env := link.Env{Exchange: x, Loop: loop, Due: p.Deadlines, Now: p.Now, Log: log}
-	runner := runnerOf(cfg, env)
-	calls := records.New(cfg.Records, cfg.Limits.Sockets/callShare, env)
-	list := directory.New(cfg.Lookup, cfg.Name, env)
-	p.Runner, p.Calls, p.Directory = runner, calls, list
-	fronts := frontsOf(cfg, x, classes, log)
-	for _, f := range fronts {
-		p.Fronts = append(p.Fronts, f.front)
-	}
-	c, err := core.New(p)
-	if err != nil {
-		return nil, fmt.Errorf("%w: settings: %w", errConfig, err)
-	}
-	for _, f := range fronts {
-		if err := f.front.Listen(loop, f.addr, cfg.Limits.Sockets*3/4/len(fronts)); err != nil {
-			return nil, fmt.Errorf("%w: %s: %w", errConfig, f.field, err)
-		}
-		log.Info("listening", zap.String("front", f.field), zap.Stringer("address", f.front.Addr()))
-	}
-	runner.Open()
-	return &service{core: c, x: x, log: log, moves: func(now *config) {
-		runner.moveTo(now)
-		calls.Move(now.Records)
-		list.Move(now.Lookup)
-	}}, nil
-}
+const (
+	codeFailed  = 1
+	codeBadCall = 2
+	codeDamaged = 3
+)
 
-// runner is an exchange.Runner that has to be connected, and to follow the file.
-type runner interface {
-	exchange.Runner
-	Open()
-	moveTo(*config)
+// exitError is a failure with an exit code of its own.
+type exitError struct {
+	code int
+	err  error
 }
 
-type engineRunner struct{ *engine.Link }
-
-func (r engineRunner) moveTo(cfg *config) {
-	if cfg.Engine != "" { // to upstreams, at the next start
-		r.Move(cfg.Engine)
-	}
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+func rootCommand() *cobra.Command {
+	root := &cobra.Command{Use: "oxbowbridge", Short: "Admission for nomination requests: runs, queues or turns away",
+		Long: "Without a sub-command the service runs, with the configuration that BALANCER_CONFIG names.",
+		Args: cobra.NoArgs, RunE: serveCommand, SilenceUsage: true, SilenceErrors: true}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &exitError{codeBadCall, err} })
+	root.AddCommand(&cobra.Command{Use: "serve", Short: "Run the service (the default)", Args: noArgs, RunE: serveCommand},
+		configCommand(), versionCommand(), tryCommand(), durableCommand())
+	root.Args = noArgs
+	return root
 }
 
-type upstreamRunner struct{ *ajp.Upstreams }
-
-func (r upstreamRunner) moveTo(cfg *config) {
-	if len(cfg.AJP.Upstreams) > 0 { // to an engine, at the next start
-		r.Move(cfg.AJP.Upstreams, cfg.AJP.UpstreamSecret)
-	}
-}
+// noArgs and oneArg are cobra's checks with the exit code of a bad call.
+func noArgs(c *cobra.Command, args []string) error { return badCall(cobra.NoArgs(c, args)) }
+func oneArg(c *cobra.Command, args []string) error { return badCall(cobra.ExactArgs(1)(c, args)) }
 
-func runnerOf(cfg *config, env link.Env) runner {
-	if len(cfg.AJP.Upstreams) > 0 {
-		info := &cfg.Settings.Info
-		return upstreamRunner{ajp.NewUpstreams(cfg.AJP.Upstreams, cfg.AJP.UpstreamSecret, info.Cores, info.OwnStats, env)}
+func badCall(err error) error {
+	if err == nil {
+		return nil
 	}
-	return engineRunner{engine.New(cfg.Engine, env)}
+	return &exitError{codeBadCall, err}
 }
 
-// listener is a front before it listens.
-type listener struct {
-	front interface {
-		core.Front
-		Listen(loop *socket.Loop, addr string, most int) error
-		Addr() net.Addr
-	}
-	field string // of the configuration
-	addr  string
-}
+func serveCommand(*cobra.Command, []string) error { return run(os.Getenv) }
 
-func frontsOf(cfg *config, x *exchange.Exchange, classes map[string]int, log *zap.Logger) []listener {
-	var fronts []listener
-	if cfg.Listen != "" {
-		fronts = append(fronts, listener{fastcgi.New(x, classes, log), "listen", cfg.Listen})
-	}
-	if cfg.AJP.Listen != "" {
-		fronts = append(fronts, listener{ajp.NewFront(x, classes, cfg.AJP.Secret, log), "ajp.listen", cfg.AJP.Listen})
-	}
-	return fronts
+func configCommand() *cobra.Command {
+	c := &cobra.Command{Use: "config", Short: "Work with configuration files"}
+	c.AddCommand(&cobra.Command{Use: "check FILE", Short: "Say whether the service would start with a file", Args: oneArg,
+		RunE: func(c *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err == nil {
+				_, err = parseConfig(text, func(string) string { return "" })
+			}
+			if err != nil {
+				return fmt.Errorf("%w: %s: %w", errConfig, args[0], err)
+			}
+			fmt.Fprintln(c.OutOrStdout(), "ok")
+			return nil
+		}})
+	return c
 }
 
-func logger(level zap.AtomicLevel) *zap.Logger {
-	enc := zap.NewProductionEncoderConfig()
-	enc.EncodeTime = zapcore.ISO8601TimeEncoder
-	enc.EncodeDuration = zapcore.StringDurationEncoder
-	lines := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stderr), level)
-	// Guards the log, and the core that writes it, against callers that fail by the thousand.
-	return zap.New(zapcore.NewSamplerWithOptions(lines, time.Second, linesMost, linesThen))
+func versionCommand() *cobra.Command {
+	return &cobra.Command{Use: "version", Short: "Say which build this is", Args: noArgs, Run: func(c *cobra.Command, _ []string) {
+		version, revision := "unknown", "unknown revision"
+		if info, ok := debug.ReadBuildInfo(); ok {
+			version = info.Main.Version
+			for _, s := range info.Settings {
+				if s.Key == "vcs.revision" {
+					revision = s.Value
+				}
+			}
+			version += ", " + info.GoVersion
+		}
+		fmt.Fprintf(c.OutOrStdout(), "oxbowbridge %s, %s\n", version, revision)
+	}}
 }
--- /dev/null
+++ b/cmd/oxbowbridge/serve.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"oxbowbridge/internal/ajp"
+	"oxbowbridge/internal/core"
+	"oxbowbridge/internal/deadline"
+	"oxbowbridge/internal/directory"
+	"oxbowbridge/internal/engine"
+	"oxbowbridge/internal/exchange"
+	"oxbowbridge/internal/fastcgi"
+	"oxbowbridge/internal/link"
+	"oxbowbridge/internal/records"
+	"oxbowbridge/internal/socket"
+)
+
+const (
+	memoryShare  = 0.6 // of memory_mb that Go's heap is told to stay under
+	requestKB    = 8   // what an open request takes here: body, result, bookkeeping
+	requestShare = 3   // a third of memory_mb may be open requests
+	callShare    = 8   // an eighth of the descriptors may be calls in hand
+	linesMost    = 50  // of one message in a second, after which
+	linesThen    = 100 // only one of so many is written
+)
+
+var errConfig = errors.New("configuration")
+
+// run serves, until a drain is over.
+func run(env func(string) string) error {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP) // guards against a SIGHUP that ends the program, from the first moment on
+	cfg, err := readConfig(env)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errConfig, err)
+	}
+	debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB) * memoryShare * (1 << 20)))
+	runtime.GOMAXPROCS(2) // the core's goroutine and the event loop
+	level := zap.NewAtomicLevel()
+	log := logger(level).With(zap.String("name", cfg.Name))
+	defer log.Sync()
+	notice, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer release()
+	kept, err := openKeeper(notice, cfg, level, log)
+	if err != nil {
+		return err
+	}
+	defer kept.close()
+	s, err := wireUp(cfg, log)
+	if err != nil {
+		return err
+	}
+	kept.say("open")
+	go func() {
+		for {
+			select {
+			case <-hangup:
+				cfg = s.reload(cfg, env)
+			case <-notice.Done():
+				kept.say("draining")
+				stop := time.Duration(cfg.StopMS)*time.Millisecond - kept.closing()
+				s.x.Post(exchange.Step(func() { s.core.Drain(stop) }))
+				return
+			}
+		}
+	}()
+	s.core.Run()
+	return nil
+}
+
+// service is the program's parts once they are connected.
+type service struct {
+	core  *core.Core
+	x     *exchange.Exchange
+	log   *zap.Logger
+	addrs []net.Addr    // of the fronts, in the order of the configuration
+	moves func(*config) // to other addresses, in the core's goroutine
+}
+
+// reload reads the file again, and returns the configuration that is in force.
+// One that would not start changes nothing.
+func (s *service) reload(old *config, env func(string) string) *config {
+	cfg, err := readConfig(env)
+	if err != nil {
+		s.log.Error("configuration not taken", zap.Error(err))
+		return old
+	}
+	s.x.Post(exchange.Step(func() { s.moves(cfg) }))
+	s.log.Info("configuration taken", zap.Strings("changed", old.changes(cfg, true)),
+		zap.Strings("at_next_start", old.changes(cfg, false)))
+	cfg.stored = old.stored
+	return cfg
+}
+
+// wireUp makes the parts and connects them.
+func wireUp(cfg *config, log *zap.Logger) (*service, error) {
+	loop, err := socket.New()
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	seed, _ := cfg.seed() // readConfig tried it
+	x := exchange.New(int(cfg.Limits.MemoryMB) << 10 / requestKB / requestShare)
+	classes := map[string]int{}
+	for i, k := range cfg.Settings.Classes {
+		classes[k.Name] = i
+	}
+	p := core.Parts{Exchange: x, Deadlines: &deadline.Set{}, Log: log, Seed: seed, Settings: &cfg.Settings,
+		Now: func() time.Duration { return time.Since(began) }}
+	env := link.Env{Exchange: x, Loop: loop, Due: p.Deadlines, Now: p.Now, Log: log}
+	runner := runnerOf(cfg, env)
+	calls := records.New(cfg.Records, cfg.Limits.Sockets/callShare, env)
+	list := directory.New(cfg.Lookup, cfg.Name, env)
+	p.Runner, p.Calls, p.Directory = runner, calls, list
+	fronts := frontsOf(cfg, x, classes, log)
+	for _, f := range fronts {
+		p.Fronts = append(p.Fronts, f.front)
+	}
+	c, err := core.New(p)
+	if err != nil {
+		return nil, fmt.Errorf("%w: settings: %w", errConfig, err)
+	}
+	for _, f := range fronts {
+		if err := f.front.Listen(loop, f.addr, cfg.Limits.Sockets*3/4/len(fronts)); err != nil {
+			return nil, fmt.Errorf("%w: %s: %w", errConfig, f.field, err)
+		}
+		log.Info("listening", zap.String("front", f.field), zap.Stringer("address", f.front.Addr()))
+	}
+	runner.Open()
+	s := &service{core: c, x: x, log: log}
+	for _, f := range fronts {
+		s.addrs = append(s.addrs, f.front.Addr())
+	}
+	s.moves = func(now *config) {
+		runner.moveTo(now)
+		calls.Move(now.Records)
+		list.Move(now.Lookup)
+	}
+	return s, nil
+}
+
+// runner is an exchange.Runner that has to be connected, and to follow the file.
+type runner interface {
+	exchange.Runner
+	Open()
+	moveTo(*config)
+}
+
+type engineRunner struct{ *engine.Link }
+
+func (r engineRunner) moveTo(cfg *config) {
+	if cfg.Engine != "" { // to upstreams, at the next start
+		r.Move(cfg.Engine)
+	}
+}
+
+type upstreamRunner struct{ *ajp.Upstreams }
+
+func (r upstreamRunner) moveTo(cfg *config) {
+	if len(cfg.AJP.Upstreams) > 0 { // to an engine, at the next start
+		r.Move(cfg.AJP.Upstreams, cfg.AJP.UpstreamSecret)
+	}
+}
+
+func runnerOf(cfg *config, env link.Env) runner {
+	if len(cfg.AJP.Upstreams) > 0 {
+		info := &cfg.Settings.Info
+		return upstreamRunner{ajp.NewUpstreams(cfg.AJP.Upstreams, cfg.AJP.UpstreamSecret, info.Cores, info.OwnStats, env)}
+	}
+	return engineRunner{engine.New(cfg.Engine, env)}
+}
+
+// listener is a front before it listens.
+type listener struct {
+	front interface {
+		core.Front
+		Listen(loop *socket.Loop, addr string, most int) error
+		Addr() net.Addr
+	}
+	field string // of the configuration
+	addr  string
+}
+
+func frontsOf(cfg *config, x *exchange.Exchange, classes map[string]int, log *zap.Logger) []listener {
+	var fronts []listener
+	if cfg.Listen != "" {
+		fronts = append(fronts, listener{fastcgi.New(x, classes, log), "listen", cfg.Listen})
+	}
+	if cfg.AJP.Listen != "" {
+		fronts = append(fronts, listener{ajp.NewFront(x, classes, cfg.AJP.Secret, log), "ajp.listen", cfg.AJP.Listen})
+	}
+	return fronts
+}
+
+func logger(level zap.AtomicLevel) *zap.Logger {
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.ISO8601TimeEncoder
+	enc.EncodeDuration = zapcore.StringDurationEncoder
+	lines := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stderr), level)
+	// Guards the log, and the core that writes it, against callers that fail by the thousand.
+	return zap.New(zapcore.NewSamplerWithOptions(lines, time.Second, linesMost, linesThen))
+}
--- a/internal/durable/corrupt_test.go
+++ b/internal/durable/corrupt_test.go
@@ -183,7 +183,7 @@
 		}
 		c[name] = data
 		s, _, err := Open(faultfs.FromImage(c), small())
-		if name == lockName || name == reserveName {
+		if name == LockName || name == reserveName {
 			require.NoError(t, err)
 			s.Close()
 		} else if err == nil {
--- a/internal/durable/errors.go
+++ b/internal/durable/errors.go
@@ -35,7 +35,11 @@
 type DamagedError struct{ Report *Report }
 
 func (e *DamagedError) Error() string {
-	return fmt.Sprintf("%v: %s", ErrDamaged, strings.Join(e.Report.Faults, "; "))
+	faults := e.Report.Faults
+	if len(faults) == 0 {
+		faults = []string{"keys were lost in an earlier repair"}
+	}
+	return fmt.Sprintf("%v: %s", ErrDamaged, strings.Join(faults, "; "))
 }
 
 func (e *DamagedError) Is(target error) bool {
--- a/internal/durable/files.go
+++ b/internal/durable/files.go
@@ -11,11 +11,13 @@
 	"oxbowbridge/internal/durable/vfs"
 )
 
-// The names of a store's files.
+// LockName is the file whose lock is that of the folder.
+const LockName = "LOCK"
+
+// The names of a store's other files.
 const (
 	manifestName = "MANIFEST"
 	manifestTemp = "MANIFEST.tmp"
-	lockName     = "LOCK"
 	reserveName  = "RESERVE"
 	logSuffix    = ".log"
 	ckpSuffix    = ".ckp"
--- a/internal/durable/inspect.go
+++ b/internal/durable/inspect.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io/fs"
+	"strings"
 
 	"oxbowbridge/internal/durable/vfs"
 )
@@ -34,6 +35,42 @@
 	scan(v.r.idx.tree, "", "", now, func(e entry) bool { return each(itemOf(e, v.r.idx.segs[e.segment])) })
 }
 
+// Missed reports a value that its Value could not give.
+func (v *View) Missed(i Item, err error) {
+	if !i.Lost {
+		v.Report.LostKeys++
+	}
+	v.Report.add(err)
+}
+
+// Fresh means that nothing was ever acknowledged here.
+func (v *View) Fresh() bool { return v.r.fresh }
+
+// FolderStat are the figures of a folder that is not open.
+type FolderStat struct {
+	*Report
+	UsedBytes  int64 `json:"used_bytes"`
+	LiveBytes  int64 `json:"live_bytes"`
+	KeysOnDisk int64 `json:"keys_on_disk"` // whose value is not held in memory
+	LogBehind  int64 `json:"log_behind_bytes"`
+	SetAside   int   `json:"files_set_aside"` // by repairs
+}
+
+// Stat gives the figures.
+func (v *View) Stat() FolderStat {
+	t := FolderStat{Report: v.Report, LogBehind: v.r.behind}
+	for name, size := range v.r.files {
+		t.UsedBytes += size
+		if strings.HasPrefix(name, setAside) {
+			t.SetAside++
+		}
+	}
+	if v.r.idx != nil {
+		t.LiveBytes, t.KeysOnDisk = v.r.idx.live, v.r.idx.onDisk
+	}
+	return t
+}
+
 // Close lets go of the files.
 func (v *View) Close() { v.r.close() }
 
--- a/internal/durable/repair.go
+++ b/internal/durable/repair.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return nil, err
 	}
-	lock, err := fsys.Lock(lockName)
+	lock, err := fsys.Lock(LockName)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/durable/snapshot.go
+++ b/internal/durable/snapshot.go
@@ -61,6 +61,7 @@
 	Key     string
 	Version uint64 // the batch that put it
 	Expiry  int64  // 0 is never
+	Lost    bool   // a repair found the value missing
 	value   func() ([]byte, error)
 }
 
@@ -85,7 +86,7 @@
 }
 
 func itemOf(e entry, seg *segment) Item {
-	return Item{Key: e.key(), Version: e.version, Expiry: e.expiry, value: func() ([]byte, error) { return valueOf(&e, seg) }}
+	return Item{Key: e.key(), Version: e.version, Expiry: e.expiry, Lost: e.place == lost, value: func() ([]byte, error) { return valueOf(&e, seg) }}
 }
 
 func valueOf(e *entry, seg *segment) ([]byte, error) {
--- a/internal/durable/store.go
+++ b/internal/durable/store.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	lock, err := fs.Lock(lockName)
+	lock, err := fs.Lock(LockName)
 	if err != nil {
 		return nil, nil, err
 	}
--- /dev/null
+++ b/internal/toy/caller.go
@@ -0,0 +1,90 @@
+package toy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/textproto"
+	"strconv"
+	"time"
+)
+
+// Answer is what the service said to a request.
+type Answer struct {
+	Status  int
+	HoldOff string // Hold-Off-Ms, of a refusal
+	Body    string
+}
+
+// Call sends one request over FastCGI, on a connection of its own.
+func Call(ctx context.Context, addr, class, body string) (Answer, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	id := make([]byte, 8)
+	rand.Read(id)
+	var params []byte
+	for _, p := range [][2]string{{"SCRIPT_NAME", "/call/" + class}, {"REQUEST_METHOD", "POST"},
+		{"HTTP_TRACE_ID", hex.EncodeToString(id)}, {"HTTP_RESERVE_KB", "24.5"},
+		{"HTTP_ACCEPTED_AT_MS", strconv.FormatInt(time.Now().UnixMilli(), 10)}} {
+		params = append(params, byte(len(p[0])), byte(len(p[1])))
+		params = append(append(params, p[0]...), p[1]...)
+	}
+	var out []byte
+	record := func(kind byte, content string) {
+		out = append(out, 1, kind, 0, 1, byte(len(content)>>8), byte(len(content)), 0, 0)
+		out = append(out, content...)
+	}
+	record(1, "\x00\x01\x00\x00\x00\x00\x00\x00")
+	record(4, string(params))
+	record(4, "")
+	if body != "" {
+		record(5, body[:min(len(body), bodyMost-1)])
+	}
+	record(5, "")
+	if _, err := c.Write(out); err != nil {
+		return Answer{}, err
+	}
+	return readAnswer(c)
+}
+
+func readAnswer(c net.Conn) (Answer, error) {
+	var text bytes.Buffer
+	for r := bufio.NewReader(c); ; {
+		h := make([]byte, 8)
+		if _, err := io.ReadFull(r, h); err != nil {
+			return Answer{}, fmt.Errorf("no answer: %w", err)
+		}
+		content := make([]byte, int(binary.BigEndian.Uint16(h[4:]))+int(h[6]))
+		if _, err := io.ReadFull(r, content); err != nil {
+			return Answer{}, fmt.Errorf("no answer: %w", err)
+		}
+		if h[1] == 3 { // END_REQUEST
+			break
+		}
+		if text.Len() <= 2*bodyMost {
+			text.Write(content[:binary.BigEndian.Uint16(h[4:])])
+		}
+	}
+	r := bufio.NewReader(&text)
+	fields, err := textproto.NewReader(r).ReadMIMEHeader()
+	if err != nil {
+		return Answer{}, fmt.Errorf("answer can't be read: %w", err)
+	}
+	rest, _ := io.ReadAll(r)
+	a := Answer{HoldOff: fields.Get("Hold-Off-Ms"), Body: string(rest)}
+	if a.Status, err = strconv.Atoi(fields.Get("Status")); err != nil {
+		return a, fmt.Errorf("answer has no status: %w", err)
+	}
+	return a, nil
+}
