--- a/internal/durable/plan/limits.go
+++ b/internal/durable/plan/limits.go
@@ -32,6 +32,8 @@
 	Chunk int64
 	// FlushAfter is how long a buffered write may stay unsynced.
 	FlushAfter time.Duration
+	// QuietAfter is how long nothing must be written for a checkpoint to be due early.
+	QuietAfter time.Duration
 	// Again is how long upkeep rests after a step that failed.
 	Again time.Duration
 }
@@ -39,7 +41,8 @@
 // Defaults suit a store of some MB to some GB on a disk that others use too.
 func Defaults() Limits {
 	return Limits{MaxBytes: 4 << 30, SegmentMin: 256 << 10, SegmentMax: 64 << 20, CheckpointMin: 4 << 20, CheckpointShare: 1,
-		GarbageShare: 0.3, WaitingShare: 0.25, Rate: 8 << 20, Chunk: 128 << 10, FlushAfter: 200 * time.Millisecond, Again: time.Second}
+		GarbageShare: 0.3, WaitingShare: 0.25, Rate: 8 << 20, Chunk: 128 << 10, FlushAfter: 200 * time.Millisecond,
+		QuietAfter: time.Second, Again: time.Second}
 }
 
 // Filled sets what is zero, and checks the rest.
@@ -47,7 +50,7 @@
 	d := Defaults()
 	for _, f := range []struct{ v, d *int64 }{{&l.MaxBytes, &d.MaxBytes}, {&l.SegmentMin, &d.SegmentMin}, {&l.SegmentMax, &d.SegmentMax},
 		{&l.CheckpointMin, &d.CheckpointMin}, {&l.Rate, &d.Rate}, {&l.Chunk, &d.Chunk},
-		{(*int64)(&l.FlushAfter), (*int64)(&d.FlushAfter)}, {(*int64)(&l.Again), (*int64)(&d.Again)}} {
+		{(*int64)(&l.FlushAfter), (*int64)(&d.FlushAfter)}, {(*int64)(&l.QuietAfter), (*int64)(&d.QuietAfter)}, {(*int64)(&l.Again), (*int64)(&d.Again)}} {
 		if *f.v == 0 {
 			*f.v = *f.d
 		}
--- a/internal/durable/plan/plan.go
+++ b/internal/durable/plan/plan.go
@@ -79,6 +79,8 @@
 	last   time.Duration
 	rest   time.Duration // until when to rest after a failure
 	began  bool
+	seq    uint64        // of the facts before
+	quiet  time.Duration // since when that is the last batch
 }
 
 // Target is how long the folder should be for what is in it.
@@ -103,6 +105,9 @@
 	if p.began {
 		p.tokens = min(p.tokens+rate*(f.Now-p.last).Seconds(), float64(l.Chunk))
 	}
+	if !p.began || f.Seq != p.seq {
+		p.seq, p.quiet = f.Seq, f.Now
+	}
 	p.began, p.last = true, f.Now
 	if f.Failed {
 		p.rest = f.Now + l.Again
@@ -126,7 +131,7 @@
 		}
 		return Step{Kind: Continue, Bytes: l.Chunk}
 	}
-	if l.checkpointDue(f) {
+	if l.checkpointDue(f, f.Now-p.quiet >= l.QuietAfter) {
 		return Step{Kind: BeginCheckpoint}
 	}
 	if n, ok := l.worst(f); ok {
@@ -188,13 +193,16 @@
 	return sum
 }
 
-func (l *Limits) checkpointDue(f Facts) bool {
+func (l *Limits) checkpointDue(f Facts, quiet bool) bool {
 	if f.Seq <= f.OlderSeq {
 		return false // both have all there is
 	}
 	if f.LogBehind >= max(l.CheckpointMin, int64(l.CheckpointShare*float64(f.Space.Checkpoint))) {
 		return true
 	}
+	if quiet && f.LogBehind+waiting(f) >= max(l.CheckpointMin/16, f.Space.Live/20) {
+		return true // it costs nobody anything now, and makes the next start short
+	}
 	return waiting(f) >= max(l.CheckpointMin/4, int64(l.WaitingShare*float64(f.Space.Live)))
 }
 
--- a/internal/durable/plan/plan_test.go
+++ b/internal/durable/plan/plan_test.go
@@ -63,6 +63,24 @@
 	}
 }
 
+// TestQuiet: with nothing written for a while, a checkpoint is due early, and no more
+// once both have all there is.
+func TestQuiet(t *testing.T) {
+	p := Planner{Limits: limits(t)}
+	f := quiet()
+	f.LogBehind, f.OlderSeq = 1<<20, 50
+	require.Equal(t, Wait, p.Next(f).Kind)
+	f.Now += p.Limits.QuietAfter - 1
+	require.Equal(t, Wait, p.Next(f).Kind)
+	f.Seq++
+	f.Now++
+	require.Equal(t, Wait, p.Next(f).Kind, "it was not quiet")
+	f.Now += p.Limits.QuietAfter
+	require.Equal(t, BeginCheckpoint, p.Next(f).Kind)
+	f.OlderSeq = f.Seq
+	require.Equal(t, Wait, p.Next(f).Kind)
+}
+
 // TestBudget: over any time, steps get the rate and one chunk, and more when the
 // folder outgrows its target.
 func TestBudget(t *testing.T) {
--- a/internal/durable/upkeep.go
+++ b/internal/durable/upkeep.go
@@ -26,6 +26,7 @@
 	ckp     *ckpWriter
 	comp    *compaction
 	ckpNext uint32
+	covered int64 // bytes of log that the checkpoint in hand covers
 	failed  bool
 
 	errMu sync.Mutex
@@ -129,6 +130,8 @@
 	}
 	if err = u.do(step); err != nil {
 		u.failed = true
+		u.s.behind.Add(u.covered)
+		u.covered = 0
 		u.abandon()
 	}
 	u.errMu.Lock()
@@ -245,7 +248,7 @@
 		tree := s.idx.tree.Copy()
 		s.mu.Unlock()
 		w = &ckpWriter{head: head, iter: tree.Iter()}
-		s.behind.Store(0)
+		u.covered = s.behind.Swap(0)
 		return nil
 	})
 	if err != nil {
@@ -310,6 +313,7 @@
 		return err
 	}
 	s.ckpBytes.Store(w.size)
+	u.covered = 0
 	s.stats.checkpoints.Add(1)
 	if old.number != 0 {
 		if err := s.fs.Remove(ckpName(old.number)); err != nil && !errors.Is(err, fs.ErrNotExist) {
