--- /dev/null
+++ b/internal/durable/busy_test.go
@@ -0,0 +1,135 @@
+package durable
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oxbowbridge/internal/durable/faultfs"
+	"oxbowbridge/internal/durable/plan"
+)
+
+// TestBusy: while writers overwrite pairs of keys, upkeep compacts and drops what
+// snapshots read. In every snapshot a pair is equal, and a scan ends with what it
+// began with.
+func TestBusy(t *testing.T) {
+	o := Options{InlineBytes: 8, Upkeep: plan.Limits{SegmentMin: 8 << 10, SegmentMax: 8 << 10, CheckpointMin: 16 << 10, Rate: 64 << 20}}
+	f := &faultfs.FS{}
+	s, _, err := Open(f, o)
+	require.NoError(t, err)
+	const writers, writes = 4, 1500
+	var writing, reading sync.WaitGroup
+	stop := make(chan struct{})
+	for w := range writers {
+		writing.Add(1)
+		go func() {
+			defer writing.Done()
+			rng := rand.New(rand.NewPCG(uint64(w), 1))
+			for i := range writes {
+				var b Batch
+				k, v := rng.IntN(20), []byte(val(i, 1+rng.IntN(40)))
+				b.Put(fmt.Appendf(nil, "%d/a/%d", w, k), v, 0)
+				b.Put(fmt.Appendf(nil, "%d/b/%d", w, k), v, 0)
+				_, err := s.Apply(&b, Level(i%2))
+				assert.NoError(t, err)
+			}
+		}()
+	}
+	for range 3 {
+		reading.Add(1)
+		go func() {
+			defer reading.Done()
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				p, err := s.Snapshot()
+				if !assert.NoError(t, err) {
+					return
+				}
+				first := map[string]string{}
+				for pass := range 2 {
+					assert.NoError(t, p.Scan(nil, nil, 0, func(i Item) bool {
+						v, err := i.Value()
+						assert.NoError(t, err)
+						if pass == 0 {
+							first[i.Key] = string(v)
+						}
+						return assert.Equal(t, first[i.Key], string(v))
+					}))
+				}
+				for k, v := range first {
+					assert.Equal(t, v, first[k[:2]+string('a'+'b'-k[2])+k[3:]], "a pair is written at once")
+					got, err := s.Get([]byte(k), 0)
+					assert.NoError(t, err)
+					assert.NotEmpty(t, got)
+				}
+				p.Close()
+			}
+		}()
+	}
+	writing.Wait()
+	close(stop)
+	reading.Wait()
+	require.NoError(t, s.Compact(t.Context()))
+	st := s.Stat()
+	assert.Positive(t, st.Dropped)
+	assert.Positive(t, st.Checkpoints)
+	want, _ := state(t, s)
+	require.NoError(t, s.Close())
+	s, _, err = Open(f, o)
+	require.NoError(t, err)
+	got, _ := state(t, s)
+	assert.Equal(t, want, got)
+	require.NoError(t, s.Close())
+}
+
+// TestWriteOvertakesMove: a key is written after compaction has read its old value and
+// before the move comes to the log. The move must not count, now or after a restart.
+func TestWriteOvertakesMove(t *testing.T) {
+	f, o := &faultfs.FS{}, small()
+	b, err := newBed(f, o)
+	require.NoError(t, err)
+	require.NoError(t, b.s.Put([]byte("k"), []byte(val(1, 30))))
+	require.NoError(t, b.s.Put([]byte("gone"), []byte(val(1, 30))))
+	require.NoError(t, b.s.roll())
+	hold, done := make(chan struct{}), make(chan error, 3)
+	b.s.submit(&request{do: func() error { <-hold; return nil }, then: func(uint64, error) {}})
+	for len(b.s.queue) > 0 { // until the committer holds it
+		runtime.Gosched()
+	}
+	var put, del Batch
+	put.Put([]byte("k"), []byte(val(2, 30)), 0)
+	del.Delete([]byte("gone"))
+	for _, c := range []*Batch{&put, &del} {
+		b.s.Submit(c, Synced, func(_ uint64, err error) { done <- err })
+	}
+	go func() {
+		_, _, err := b.s.compact(&compaction{seg: b.s.idx.segs[1], at: headerLen}, 1<<20)
+		done <- err
+	}()
+	for len(b.s.queue) < 3 {
+		runtime.Gosched()
+	}
+	close(hold)
+	for range 3 {
+		require.NoError(t, <-done)
+	}
+	for range 2 {
+		v, err := b.s.Get([]byte("k"), 0)
+		require.NoError(t, err)
+		require.Equal(t, val(2, 30), string(v))
+		_, err = b.s.Get([]byte("gone"), 0)
+		require.ErrorIs(t, err, ErrNotFound)
+		require.NoError(t, b.s.Close())
+		b.s, _, err = Open(f, o)
+		require.NoError(t, err)
+	}
+}
--- a/internal/durable/durable_test.go
+++ b/internal/durable/durable_test.go
@@ -315,6 +315,17 @@
 			}
 			_, err = b.s.Get(fmt.Appendf(nil, "%04d", n), 0)
 			require.ErrorIs(t, err, ErrNotFound)
+			hold, answers := make(chan struct{}), make(chan error, 2) // one group: what fits of it is taken
+			b.s.submit(&request{do: func() error { <-hold; return nil }, then: func(uint64, error) {}})
+			var big, gone Batch
+			big.Put([]byte("big"), bytes.Repeat([]byte{'x'}, 2000), 0)
+			gone.Delete([]byte("0000"))
+			for _, c := range []*Batch{&big, &gone} {
+				b.s.Submit(c, Synced, func(_ uint64, err error) { answers <- err })
+			}
+			close(hold)
+			require.ErrorIs(t, <-answers, ErrFull)
+			require.NoError(t, <-answers)
 			for i := range n * 3 / 4 {
 				require.NoError(t, b.s.Delete(fmt.Appendf(nil, "%04d", i)), i)
 				if _, uerr := b.s.Step(time.Duration(n+i) * time.Second); uerr != nil {
--- a/internal/durable/plan/plan_test.go
+++ b/internal/durable/plan/plan_test.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -9,6 +11,15 @@
 	"pgregory.net/rapid"
 )
 
+// TestMain has rapid try the same facts each time, unless a seed is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
+		flag.Set("rapid.seed", "20261201")
+	}
+	os.Exit(m.Run())
+}
+
 func limits(t require.TestingT) Limits {
 	l, err := Limits{}.Filled()
 	require.NoError(t, err)
--- a/internal/durable/recover.go
+++ b/internal/durable/recover.go
@@ -210,6 +210,9 @@
 
 // enter checks a segment's header against where the replay stands.
 func (r *recovered) enter(s *segment, first bool) (ok bool, err error) {
+	if s.number > r.man.active && s.size <= headerLen {
+		return false, nil // its creation was cut off
+	}
 	b, name := make([]byte, min(s.size, headerLen)), logName(s.number)
 	if err := readFull(s.file, b, 0); err != nil {
 		return false, fmt.Errorf("%s: %w", name, err)
@@ -219,8 +222,6 @@
 		err = faulty(name, 12, "belongs to another store or another place")
 	}
 	switch {
-	case err != nil && s.number > r.man.active && s.size <= headerLen:
-		return false, nil // its creation was cut off
 	case err != nil:
 	case first && r.end.offset == headerLen:
 		if r.end.chain == 0 && r.report.Checkpoint == 0 {
@@ -232,7 +233,7 @@
 	case first:
 	case h.prevSeq != r.end.seq || h.prevChain != r.end.chain || h.prevSize != r.end.offset:
 		err = faulty(name, 24, "does not follow the segment before")
-	case s.number > r.man.active && s.size > headerLen:
+	case s.number > r.man.active:
 		err = faulty(name, 0, "is newer than the manifest")
 	}
 	if err != nil {
