Durable store: repairs crashed at every step

Change: TestCrashInRepair spoils a closed folder in several ways and stops the machine at each step of its repair, four outcomes each.

--- a/internal/durable/corrupt_test.go
+++ b/internal/durable/corrupt_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -223,3 +224,67 @@
 	got, _ := state(t, s)
 	require.Equal(t, "0=new;1=new;", got)
 }
+
+// TestCrashInRepair stops the machine at every step of repairs of all kinds of
+// damage. Afterwards the folder is as damaged as before, or repaired.
+func TestCrashInRepair(t *testing.T) {
+	b, images := folders(t)
+	image := images["closed"]
+	names := slices.Sorted(maps.Keys(image))
+	logs, ckps, damages := []string{}, []string{}, 0
+	for _, name := range names {
+		switch {
+		case strings.HasSuffix(name, logSuffix):
+			logs = append(logs, name)
+		case strings.HasSuffix(name, ckpSuffix):
+			ckps = append(ckps, name)
+		}
+	}
+	damage := []func(map[string][]byte){
+		func(c map[string][]byte) { delete(c, manifestName) },
+		func(c map[string][]byte) { c[manifestName][30] ^= 1 },
+		func(c map[string][]byte) { c[ckps[len(ckps)-1]][100] ^= 1; c[logs[len(logs)-1]][70] ^= 1 },
+		func(c map[string][]byte) { delete(c, logs[len(logs)-1]) },
+	}
+	for _, name := range logs {
+		damage = append(damage, func(c map[string][]byte) { c[name] = c[name][:len(c[name])/2] }, func(c map[string][]byte) { delete(c, name) })
+	}
+	for d, spoil := range damage {
+		c := map[string][]byte{}
+		for name, data := range image {
+			c[name] = slices.Clone(data)
+		}
+		spoil(c)
+		sound := faultfs.FromImage(c)
+		if _, err := Repair(sound, small()); errors.Is(err, ErrHopeless) || sound.Steps() == 0 {
+			continue
+		}
+		damages++
+		for k := 1; k <= sound.Steps(); k++ {
+			for seed := range uint64(4) {
+				f := faultfs.FromImage(c)
+				f.At = func(step int, _, _ string) faultfs.Fault {
+					if step == k {
+						return faultfs.Crash
+					}
+					return faultfs.None
+				}
+				_, err := Repair(f, small())
+				require.Error(t, err)
+				f = f.Crashed(rand.New(rand.NewPCG(uint64(k), seed)), []float64{0, 0.5, 1, 0.8}[seed])
+				s, _, err := Open(f, small())
+				if errors.Is(err, ErrDamaged) {
+					_, err = Repair(f, small())
+					require.NoError(t, err, "damage %d, step %d, seed %d", d, k, seed)
+					s, _, err = Open(f, small())
+				}
+				require.NoError(t, err, "damage %d, step %d, seed %d", d, k, seed)
+				got, _ := state(t, s)
+				require.True(t, partOf(b, got), "damage %d, step %d, seed %d: %s", d, k, seed, got)
+				require.NoError(t, s.Put([]byte("after"), []byte(val(3, 30))))
+				require.NoError(t, s.Close())
+			}
+		}
+	}
+	require.Greater(t, damages, 4)
+}
