--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -10,20 +10,20 @@
 	"fmt"
 	"net"
 	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
-	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapio"
+
+	"oxbowbridge/internal/durable"
+	"oxbowbridge/internal/raftdisk"
 )
 
 const (
 	applyTimeout   = 3 * time.Second
 	electionTime   = 500 * time.Millisecond
-	keepSnapshots  = 2
 	snapshotAfter  = 1024 // log entries
 	transportConns = 3
 	transportTime  = 2 * time.Second
@@ -121,21 +121,20 @@
 	rc.HeartbeatTimeout, rc.ElectionTimeout, rc.LeaderLeaseTimeout = electionTime, electionTime, electionTime
 	rc.SnapshotThreshold = snapshotAfter
 	rc.Logger = hclog.New(&hclog.LoggerOptions{Level: hclog.Error, Output: out, DisableTime: true})
-	bolt, err := raftboltdb.NewBoltStore(filepath.Join(s.cfg.Dir, "log.db"))
+	disk, report, err := raftdisk.Open(s.cfg.Dir)
 	if err != nil {
-		return fmt.Errorf("open log: %w", err)
+		return fmt.Errorf("dir: %w", err)
 	}
-	s.close = append(s.close, func() { bolt.Close() })
-	snaps, err := raft.NewFileSnapshotStoreWithLogger(s.cfg.Dir, keepSnapshots, rc.Logger)
-	if err != nil {
-		return fmt.Errorf("open snapshots: %w", err)
+	s.close = append(s.close, func() { disk.Close() })
+	if report.Loss == durable.TailLoss {
+		s.log.Info("unsynced tail of the log cut off", zap.Int64("bytes", report.CutBytes))
 	}
 	transport, err := raft.NewTCPTransportWithLogger(s.self.Raft, nil, transportConns, transportTime, rc.Logger)
 	if err != nil {
 		return fmt.Errorf("raft address: %w", err)
 	}
 	s.close = append(s.close, func() { transport.Close() })
-	had, err := raft.HasExistingState(bolt, bolt, snaps)
+	had, err := raft.HasExistingState(disk, disk, disk)
 	if err != nil {
 		return fmt.Errorf("read log: %w", err)
 	}
@@ -144,11 +143,11 @@
 		for _, p := range s.cfg.Peers {
 			servers = append(servers, raft.Server{ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Raft)})
 		}
-		if err := raft.BootstrapCluster(rc, bolt, bolt, snaps, transport, raft.Configuration{Servers: servers}); err != nil {
+		if err := raft.BootstrapCluster(rc, disk, disk, disk, transport, raft.Configuration{Servers: servers}); err != nil {
 			return fmt.Errorf("first start: %w", err)
 		}
 	}
-	if s.raft, err = raft.NewRaft(rc, s.state, bolt, bolt, snaps, transport); err != nil {
+	if s.raft, err = raft.NewRaft(rc, s.state, disk, disk, disk, transport); err != nil {
 		return fmt.Errorf("start raft: %w", err)
 	}
 	s.close = append(s.close, func() { s.raft.Shutdown().Error() })
