Reads of the store are linearizable by default: read index at every node, 503 else

Need: 15% of reads at random nodes were behind a write acknowledged before they began. Cause: GET answered from the node's own map; even the catch-up at the start compared with Raft's applied index, which counts what was handed on, not what is in the map. Change: a read proves itself by the leader's commit index, verified by a majority (after an entry of its own term), and waits until the state holds the last command up to it; readers that wait share the next round. ?stale=DURATION and ?local=1 ask for less; what can't be proven in 2 s is 503 with Retry-After.

--- a/internal/store/admin.go
+++ b/internal/store/admin.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -30,7 +31,7 @@
 
 // admin is the operators' HTTP port, on a loopback address: GET /status,
 // GET /store, and GET, PUT and DELETE /store/KEY. Nodes pass writes to their
-// leader by it.
+// leader by it, and ask it how far the log is committed (GET /index).
 type admin struct {
 	store  *Store
 	server *http.Server
@@ -45,7 +46,11 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { answer(w, a.status()) })
-	mux.HandleFunc("GET /store", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /index", a.index)
+	mux.HandleFunc("GET /store", func(w http.ResponseWriter, r *http.Request) {
+		if !a.fresh(w, r) {
+			return
+		}
 		all := map[string]json.RawMessage{}
 		for key, e := range s.state.since(0) {
 			if !e.Gone {
@@ -83,6 +88,9 @@
 }
 
 func (a *admin) get(w http.ResponseWriter, r *http.Request) {
+	if !a.fresh(w, r) {
+		return
+	}
 	v, ok := a.store.Get(r.PathValue("key"))
 	if !ok {
 		http.Error(w, "no such key", http.StatusNotFound)
@@ -91,6 +99,51 @@
 	answer(w, v)
 }
 
+// fresh makes sure that what is read next is as fresh as the request asks for:
+// linearizable, or ?stale=DURATION, or ?local=1. It answers the others.
+func (a *admin) fresh(w http.ResponseWriter, r *http.Request) bool {
+	q := r.URL.Query()
+	f := Freshness{Local: q.Get("local") == "1"}
+	if text := q.Get("stale"); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 {
+			http.Error(w, "stale: want a duration above 0, such as 2s", http.StatusBadRequest)
+			return false
+		}
+		f.Stale = d
+	}
+	age, err := a.store.fresh(r.Context(), f)
+	if err != nil {
+		unavailable(w, err)
+		return false
+	}
+	if f.Stale > 0 {
+		w.Header().Set("Age-Ms", strconv.FormatInt(age.Milliseconds(), 10))
+	}
+	return true
+}
+
+// unavailable says that asking again may help.
+func unavailable(w http.ResponseWriter, err error) {
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, err.Error(), http.StatusServiceUnavailable)
+}
+
+// index answers a node that wants to prove that it is fresh.
+func (a *admin) index(w http.ResponseWriter, r *http.Request) {
+	index, err := a.store.readIndex()
+	if err != nil {
+		unavailable(w, err)
+		return
+	}
+	answer(w, readIndex{index})
+}
+
+// readIndex is the answer of a leader to GET /index.
+type readIndex struct {
+	Index uint64 `json:"index"`
+}
+
 func (a *admin) put(w http.ResponseWriter, r *http.Request) {
 	var value json.RawMessage
 	if r.Method == http.MethodPut {
@@ -108,7 +161,7 @@
 		err = a.store.Set(r.Context(), r.PathValue("key"), value)
 	}
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		unavailable(w, err)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -146,14 +199,15 @@
 	return err
 }
 
-func (a *admin) statusOfLeader(ctx context.Context) (Status, error) {
-	var st Status
-	text, err := a.ask(ctx, http.MethodGet, "/status", nil)
-	if err == nil {
-		err = json.Unmarshal(text, &st)
+// indexOfLeader asks the leader how far the log was committed when it was asked.
+func (a *admin) indexOfLeader(ctx context.Context) (uint64, error) {
+	text, err := a.ask(ctx, http.MethodGet, "/index", nil)
+	if err != nil {
+		return 0, err
 	}
-	if err == nil && st.State != raft.Leader.String() {
-		err = errNoLeader
+	var at readIndex
+	if err := json.Unmarshal(text, &at); err != nil {
+		return 0, fmt.Errorf("leader's index: %w", err)
 	}
-	return st, err
+	return at.Index, nil
 }
--- /dev/null
+++ b/internal/store/fresh.go
@@ -0,0 +1,183 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/raft"
+)
+
+// Freshness is what a reader asks for.
+type Freshness struct {
+	Local bool          // what this node knows, however old
+	Stale time.Duration // at most so old; 0 is linearizable
+}
+
+// ErrNotFresh means that this node can't prove in time that it knows what the
+// reader asked for. The reader may ask again, here or at another node.
+var ErrNotFresh = errors.New("freshness can't be proven now")
+
+const proveTimeout = 2 * time.Second
+
+// proof says that this node knew all that was committed at a time.
+type proof struct {
+	index uint64 // the last entry committed by then
+	at    time.Time
+}
+
+// prover proves freshness by asking the leader for its commit index, which counts
+// if a majority still follows it (the read index of Raft, section 6.4). Those who
+// ask while a round is on its way share the next one: only a round that began
+// after a reader came proves anything to it.
+type prover struct {
+	ask func(context.Context) (index uint64, err error)
+
+	mu      sync.Mutex
+	running bool
+	next    *round
+}
+
+type round struct {
+	done  chan struct{}
+	proof proof
+	err   error
+}
+
+// prove gives a proof that is younger than the call.
+func (p *prover) prove(ctx context.Context) (proof, error) {
+	p.mu.Lock()
+	if p.next == nil {
+		p.next = &round{done: make(chan struct{})}
+	}
+	r := p.next
+	if !p.running {
+		p.running = true
+		go p.run()
+	}
+	p.mu.Unlock()
+	select {
+	case <-r.done:
+		return r.proof, r.err
+	case <-ctx.Done():
+		return proof{}, ctx.Err()
+	}
+}
+
+// run carries out rounds, until nobody waits for one.
+func (p *prover) run() {
+	for {
+		p.mu.Lock()
+		r := p.next
+		p.next = nil
+		if r == nil {
+			p.running = false
+			p.mu.Unlock()
+			return
+		}
+		p.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), proveTimeout)
+		r.proof.at = time.Now()
+		r.proof.index, r.err = p.ask(ctx)
+		cancel()
+		close(r.done)
+	}
+}
+
+// readIndex is the last entry that was committed when this was called, if a
+// majority still takes this node for the leader after it was read.
+func (s *Store) readIndex() (uint64, error) {
+	term := s.raft.CurrentTerm()
+	if s.raft.State() != raft.Leader {
+		return 0, errNoLeader
+	}
+	// Guards against a leader that is new: until an entry of its own term is
+	// committed, it doesn't know how far its predecessors had come.
+	if s.barred.Load() != term {
+		if err := s.raft.Barrier(applyTimeout).Error(); err != nil {
+			return 0, fmt.Errorf("first entry of term %d: %w", term, err)
+		}
+		if s.raft.CurrentTerm() != term {
+			return 0, errNoLeader
+		}
+		s.barred.Store(term)
+	}
+	index := s.raft.CommitIndex()
+	if err := s.raft.VerifyLeader().Error(); err != nil {
+		return 0, err
+	}
+	if s.raft.CurrentTerm() != term {
+		return 0, errNoLeader
+	}
+	return index, nil
+}
+
+// fresh waits until this node knows what the reader asked for, and gives the age of
+// what it knows.
+func (s *Store) fresh(ctx context.Context, f Freshness) (age time.Duration, err error) {
+	if f.Local {
+		return 0, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, proveTimeout)
+	defer cancel()
+	if f.Stale > 0 {
+		if at := s.known(); !at.IsZero() && time.Since(at) <= f.Stale {
+			return time.Since(at), nil
+		}
+	}
+	p, err := s.prover.prove(ctx)
+	if err == nil {
+		err = s.applied(ctx, p.index)
+	}
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrNotFresh, err)
+	}
+	s.knownMu.Lock()
+	if p.at.After(s.knownAt) {
+		s.knownAt = p.at
+	}
+	s.knownMu.Unlock()
+	return time.Since(p.at), nil
+}
+
+// known is a time at which this node knew all that was committed.
+func (s *Store) known() time.Time {
+	s.knownMu.Lock()
+	defer s.knownMu.Unlock()
+	return s.knownAt
+}
+
+// applied waits until the state holds all entries up to an index. Raft counts an
+// entry as applied when it hands it on, and hands on commands only, so the state's
+// own count is what matters, up to the last command.
+func (s *Store) applied(ctx context.Context, index uint64) error {
+	for {
+		done, moved := s.state.progress()
+		if done >= index || s.raft.AppliedIndex() >= index && !s.commandIn(done+1, index) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("at entry %d, waiting for %d: %w", done, index, ctx.Err())
+		case <-moved:
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// commandIn tells whether the log has a command in a range that the state may not
+// have yet. What the log has no more was in the state before it was cut off.
+func (s *Store) commandIn(from, to uint64) bool {
+	var l raft.Log
+	for i := to; i >= from; i-- {
+		switch err := s.disk.GetLog(i, &l); {
+		case errors.Is(err, raft.ErrLogNotFound):
+			return false
+		case err != nil || l.Type == raft.LogCommand:
+			return true
+		}
+	}
+	return false
+}
--- a/internal/store/state.go
+++ b/internal/store/state.go
@@ -52,10 +52,27 @@
 	entries  map[string]entry
 	watchers []func(key string, value json.RawMessage)
 	changed  chan struct{}
+	applied  uint64        // the last command of the log that is in it
+	moved    chan struct{} // closed when that grows
 }
 
 func newState() *state {
-	return &state{entries: map[string]entry{}, changed: make(chan struct{}, 1)}
+	return &state{entries: map[string]entry{}, changed: make(chan struct{}, 1), moved: make(chan struct{})}
+}
+
+// progress is the last command that the state has, and a channel that is closed once
+// it has another.
+func (s *state) progress() (applied uint64, moved <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.applied, s.moved
+}
+
+// advance is called with the lock held.
+func (s *state) advance(index uint64) {
+	s.applied = index
+	close(s.moved)
+	s.moved = make(chan struct{})
 }
 
 func (s *state) watch(call func(string, json.RawMessage)) {
@@ -83,10 +100,13 @@
 // Apply carries one entry of the log out, or nothing of it.
 func (s *state) Apply(l *raft.Log) any {
 	var list []command
-	if err := json.Unmarshal(l.Data, &list); err != nil {
+	err := json.Unmarshal(l.Data, &list)
+	s.mu.Lock()
+	if err != nil {
+		s.advance(l.Index)
+		s.mu.Unlock()
 		return fmt.Errorf("log entry %d: %w", l.Index, err)
 	}
-	s.mu.Lock()
 	added := 0
 	for _, c := range list {
 		if _, known := s.entries[c.Key]; !known {
@@ -94,6 +114,7 @@
 		}
 	}
 	if len(s.entries)+added > keysMost {
+		s.advance(l.Index)
 		s.mu.Unlock()
 		return errFull
 	}
@@ -103,6 +124,7 @@
 		}
 		s.entries[c.Key] = entry{Value: list[i].Value, Index: l.Index, Gone: list[i].Value == nil}
 	}
+	s.advance(l.Index)
 	watchers := s.watchers
 	s.mu.Unlock()
 	for _, c := range list {
@@ -122,20 +144,24 @@
 }
 
 // Snapshot returns the whole map.
-func (s *state) Snapshot() (raft.FSMSnapshot, error) { return snapshot(s.since(0)), nil }
+func (s *state) Snapshot() (raft.FSMSnapshot, error) {
+	applied, _ := s.progress() // nothing is applied meanwhile
+	return &snapshot{Applied: applied, Entries: s.since(0)}, nil
+}
 
 // Restore replaces the whole map.
 func (s *state) Restore(r io.ReadCloser) error {
 	defer r.Close()
-	entries := map[string]entry{}
-	if err := json.NewDecoder(r).Decode(&entries); err != nil {
+	from := snapshot{Entries: map[string]entry{}}
+	if err := json.NewDecoder(r).Decode(&from); err != nil {
 		return fmt.Errorf("read snapshot: %w", err)
 	}
 	s.mu.Lock()
-	s.entries = entries
+	s.entries = from.Entries
+	s.advance(from.Applied)
 	watchers := s.watchers
 	s.mu.Unlock()
-	for key, e := range entries {
+	for key, e := range from.Entries {
 		for _, w := range watchers {
 			w(key, e.Value)
 		}
@@ -144,10 +170,14 @@
 	return nil
 }
 
-type snapshot map[string]entry
+// snapshot is the whole map, and the last command in it.
+type snapshot struct {
+	Applied uint64           `json:"applied"`
+	Entries map[string]entry `json:"entries"`
+}
 
 // Persist writes a snapshot.
-func (m snapshot) Persist(sink raft.SnapshotSink) error {
+func (m *snapshot) Persist(sink raft.SnapshotSink) error {
 	if err := json.NewEncoder(sink).Encode(m); err != nil {
 		sink.Cancel()
 		return fmt.Errorf("write snapshot: %w", err)
@@ -156,4 +186,4 @@
 }
 
 // Release does nothing: a snapshot is a copy.
-func (m snapshot) Release() {}
+func (m *snapshot) Release() {}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -10,6 +10,8 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -94,7 +96,13 @@
 	state  *state
 	mirror *mirror
 	admin  *admin
+	disk   *raftdisk.Disk
 	close  []func()
+
+	prover  *prover
+	barred  atomic.Uint64 // the term in which this node, as leader, has committed an entry
+	knownMu sync.Mutex
+	knownAt time.Time
 }
 
 // Open starts a node. It finds the others by itself, and what it missed.
@@ -104,6 +112,7 @@
 	}
 	s := &Store{cfg: cfg, log: log, state: newState()}
 	s.self, _ = cfg.self()
+	s.prover = &prover{ask: s.committed}
 	if err := s.open(); err != nil {
 		s.Close()
 		return nil, err
@@ -125,6 +134,7 @@
 	if err != nil {
 		return fmt.Errorf("dir: %w", err)
 	}
+	s.disk = disk
 	s.close = append(s.close, func() { disk.Close() })
 	if report.Loss == durable.TailLoss {
 		s.log.Info("unsynced tail of the log cut off", zap.Int64("bytes", report.CutBytes))
@@ -182,7 +192,7 @@
 // key that was deleted. It must not block.
 func (s *Store) Watch(call func(key string, value json.RawMessage)) { s.state.watch(call) }
 
-// Get reads a key as this node knows it.
+// Get reads a key as this node knows it, however old that is.
 func (s *Store) Get(key string) (json.RawMessage, bool) {
 	e, ok := s.state.get(key)
 	return e.Value, ok
@@ -192,7 +202,7 @@
 // reports whether it does.
 func (s *Store) Caught(ctx context.Context) bool {
 	for {
-		if err := s.sync(ctx); err == nil {
+		if _, err := s.fresh(ctx, Freshness{}); err == nil {
 			return true
 		}
 		select {
@@ -203,21 +213,21 @@
 	}
 }
 
-// sync waits for what the leader has committed by now.
-func (s *Store) sync(ctx context.Context) error {
-	if s.raft.State() == raft.Leader {
-		return s.raft.Barrier(applyTimeout).Error()
-	}
-	status, err := s.admin.statusOfLeader(ctx)
-	if err != nil {
-		return err
+// Read reads a key no older than was asked for, and gives its age at most.
+func (s *Store) Read(ctx context.Context, key string, f Freshness) (value json.RawMessage, found bool, age time.Duration, err error) {
+	if age, err = s.fresh(ctx, f); err != nil {
+		return nil, false, 0, err
 	}
-	// Guards against a leader of a moment ago: it has all that was committed in its
-	// log, but may not have applied it yet.
-	if s.raft.AppliedIndex() < status.Last {
-		return errors.New("behind the leader")
+	value, found = s.Get(key)
+	return value, found, age, nil
+}
+
+// committed asks whoever leads for its read index.
+func (s *Store) committed(ctx context.Context) (uint64, error) {
+	if s.raft.State() == raft.Leader {
+		return s.readIndex()
 	}
-	return nil
+	return s.admin.indexOfLeader(ctx)
 }
 
 // Set writes a key; a nil value deletes it. It is done when most nodes have it.
