Store: sub-commands, a client with one budget of repeats, starts on the last good settings

Need: operators had curl only; a node that came back alone took whatever its old log held for the store's settings. Change: store status, get, put, delete and txn at any node, each write in a session, with repeats under one budget and jitter (store.Client); the service keeps the version that it started on in its own folder, and takes none from the store until this node has read all that was committed. A version that would not start gives way to the last good one.

--- a/cmd/oxbowbridge/keeper.go
+++ b/cmd/oxbowbridge/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,6 +32,8 @@
 	name  string
 	log   *zap.Logger
 	says  chan string
+
+	caught atomic.Bool // this node has read all that was committed when it started
 }
 
 func openKeeper(ctx context.Context, cfg *config, level zap.AtomicLevel, log *zap.Logger) (*keeper, error) {
@@ -42,42 +45,59 @@
 		return nil, fmt.Errorf("%w: store: %w", errConfig, err)
 	}
 	k := &keeper{store: s, name: cfg.Name, log: log, says: make(chan string, 1)}
-	setLevel := func(value json.RawMessage) {
-		text := "info"
-		if value != nil {
-			if err := json.Unmarshal(value, &text); err != nil {
-				log.Warn("log level not understood", zap.Error(err))
-				return
-			}
-		}
-		if err := level.UnmarshalText([]byte(text)); err != nil {
-			log.Warn("log level not understood", zap.Error(err))
-		}
-	}
 	s.Watch(func(key string, value json.RawMessage) {
-		if key == keyLevel {
-			setLevel(value)
+		if key == keyLevel && k.caught.Load() { // not what a log that is read again once said
+			k.setLevel(level, value)
 		}
 	})
-	ctx, cancel := context.WithTimeout(ctx, catchUp)
+	first, cancel := context.WithTimeout(ctx, catchUp)
 	defer cancel()
-	if !s.Caught(ctx) {
-		log.Warn("store has no leader yet, going on with what this node knows")
-	}
-	if v, ok := s.Get(keyLevel); ok {
-		setLevel(v)
-	}
-	if v, ok := s.Get(keySettings); ok {
-		k.use(cfg, v)
+	if s.Caught(first) {
+		k.caughtUp(level)
+		if e, ok := s.Entry(keySettings); ok {
+			if !k.use(cfg, store.Good{Revision: e.Index, Value: e.Value}, false) {
+				k.useLast(cfg)
+			}
+		}
+	} else {
+		log.Warn("store can't be read yet, going on with what was good last")
+		k.useLast(cfg)
+		go func() { // the level is followed once this node has caught up
+			if s.Caught(ctx) {
+				k.caughtUp(level)
+			}
+		}()
 	}
 	go k.tell()
 	return k, nil
 }
 
-// use takes the settings of the store, unless they would not start.
-func (k *keeper) use(cfg *config, text json.RawMessage) {
+// caughtUp has the level followed from now on.
+func (k *keeper) caughtUp(level zap.AtomicLevel) {
+	k.caught.Store(true)
+	if v, ok := k.store.Get(keyLevel); ok {
+		k.setLevel(level, v)
+	}
+}
+
+func (k *keeper) setLevel(level zap.AtomicLevel, value json.RawMessage) {
+	text := "info"
+	if value != nil {
+		if err := json.Unmarshal(value, &text); err != nil {
+			k.log.Warn("log level not understood", zap.Error(err))
+			return
+		}
+	}
+	if err := level.UnmarshalText([]byte(text)); err != nil {
+		k.log.Warn("log level not understood", zap.Error(err))
+	}
+}
+
+// use takes settings of the store, unless they would not start, and keeps them as
+// good.
+func (k *keeper) use(cfg *config, g store.Good, last bool) bool {
 	var w wire.Settings
-	err := wire.Decode(text, &w)
+	err := wire.Decode(g.Value, &w)
 	if err == nil {
 		var set rules.Settings
 		if set, err = w.Rules(); err == nil {
@@ -85,11 +105,29 @@
 		}
 	}
 	if err != nil {
-		k.log.Error("settings of the store are not usable, the file's are used", zap.Error(err))
-		return
+		k.log.Error("settings of the store are not usable", zap.Uint64("revision", g.Revision), zap.Error(err))
+		return false
 	}
 	cfg.Settings, cfg.stored = w, true
-	k.log.Info("settings taken from the store")
+	k.log.Info("settings taken from the store", zap.Uint64("revision", g.Revision), zap.Bool("last_good", last))
+	if last {
+		return true
+	}
+	if err := k.store.Keep(keySettings, g); err != nil {
+		k.log.Error("good settings not kept for the next start", zap.Error(err))
+	}
+	return true
+}
+
+// useLast takes the settings that this node last started on; without any, the file's
+// stay.
+func (k *keeper) useLast(cfg *config) {
+	switch g, ok, err := k.store.LastGood(keySettings); {
+	case err != nil:
+		k.log.Error("last good settings can't be read, the file's are used", zap.Error(err))
+	case ok:
+		k.use(cfg, g, true)
+	}
 }
 
 // say has the store told what the service does, when it can be.
--- /dev/null
+++ b/cmd/oxbowbridge/store.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/store"
+)
+
+// storeCLI is what the sub-commands of store share.
+type storeCLI struct {
+	nodes  []string
+	asJSON bool
+	local  bool
+	stale  string
+	match  uint64
+}
+
+func storeCommand() *cobra.Command {
+	s := &storeCLI{}
+	c := &cobra.Command{Use: "store", Short: "Read and write the replicated store, at any of its nodes"}
+	c.PersistentFlags().StringSliceVar(&s.nodes, "nodes", []string{"127.0.0.1:7201"}, "admin addresses, any or all of them")
+	c.PersistentFlags().BoolVar(&s.asJSON, "json", false, "print JSON in place of tables")
+	add := func(use, short string, args cobra.PositionalArgs, run func(*cobra.Command, *store.Client, []string) error) *cobra.Command {
+		sub := &cobra.Command{Use: use, Short: short, Args: func(c *cobra.Command, a []string) error { return badCall(args(c, a)) },
+			RunE: func(c *cobra.Command, a []string) error { return run(c, store.NewClient(s.nodes), a) }}
+		c.AddCommand(sub)
+		return sub
+	}
+	add("status", "Show each node that --nodes names", cobra.NoArgs, s.status)
+	get := add("get [KEY]", "Print a key, or all", cobra.MaximumNArgs(1), s.get)
+	get.Flags().BoolVar(&s.local, "local", false, "what the node knows, however old")
+	get.Flags().StringVar(&s.stale, "stale", "", "a read that may be so old, such as 2s")
+	put := add("put KEY JSON", "Write a key, once", cobra.ExactArgs(2), s.put)
+	del := add("delete KEY", "Remove a key", cobra.ExactArgs(1), s.delete)
+	for _, sub := range []*cobra.Command{put, del} {
+		sub.Flags().Uint64Var(&s.match, "if-revision", 0, "only if the key has this revision; 0 if it is not there")
+	}
+	add("txn", "Carry out a transaction, once, given as JSON on standard input:\n"+
+		`{"if": [{"key": K, "revision": N}], "then": [{"do": "put", "key": K, "value": V}], "else": []}`, cobra.NoArgs, s.txn)
+	return c
+}
+
+func table(out io.Writer, rows ...[]any) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		for i, cell := range row {
+			if i > 0 {
+				fmt.Fprint(w, "\t")
+			}
+			fmt.Fprint(w, cell)
+		}
+		fmt.Fprintln(w)
+	}
+	return w.Flush()
+}
+
+func (s *storeCLI) status(c *cobra.Command, client *store.Client, _ []string) error {
+	type line struct {
+		Address string `json:"address"`
+		store.Status
+		Away string `json:"away,omitempty"`
+	}
+	var lines []line
+	rows := [][]any{{"ADDRESS", "NODE", "STATE", "LEADER", "APPLIED", "LAST", "ERROR"}}
+	up := 0
+	for _, addr := range s.nodes {
+		st, err := client.Status(c.Context(), addr)
+		l := line{Address: addr, Status: st}
+		if err != nil {
+			l.Away = err.Error()
+		} else {
+			up++
+		}
+		lines = append(lines, l)
+		rows = append(rows, []any{addr, st.Node, st.State, st.Leader, st.Applied, st.Last, l.Away + st.SQLError})
+	}
+	err := error(nil)
+	if s.asJSON {
+		err = printJSON(c.OutOrStdout(), lines)
+	} else {
+		err = table(c.OutOrStdout(), rows...)
+	}
+	if up == 0 {
+		err = errors.Join(err, errors.New("no node answered"))
+	}
+	return err
+}
+
+func (s *storeCLI) get(c *cobra.Command, client *store.Client, args []string) error {
+	query := ""
+	switch {
+	case s.local:
+		query = "?local=1"
+	case s.stale != "":
+		query = "?stale=" + s.stale
+	}
+	if len(args) == 1 {
+		value, revision, err := client.Get(c.Context(), args[0], query)
+		if err != nil {
+			return err
+		}
+		if s.asJSON {
+			return printJSON(c.OutOrStdout(), kv.Result{Key: args[0], Revision: revision, Value: value})
+		}
+		_, err = fmt.Fprintf(c.OutOrStdout(), "%s\n", value)
+		return err
+	}
+	all, err := client.List(c.Context(), query)
+	if err != nil {
+		return err
+	}
+	if s.asJSON {
+		return printJSON(c.OutOrStdout(), all)
+	}
+	rows := [][]any{{"KEY", "VALUE"}}
+	for _, key := range slices.Sorted(maps.Keys(all)) {
+		rows = append(rows, []any{key, string(all[key])})
+	}
+	return table(c.OutOrStdout(), rows...)
+}
+
+func (s *storeCLI) condition(c *cobra.Command) *uint64 {
+	if !c.Flags().Changed("if-revision") {
+		return nil
+	}
+	return &s.match
+}
+
+func (s *storeCLI) put(c *cobra.Command, client *store.Client, args []string) error {
+	if !json.Valid([]byte(args[1])) {
+		return badCall(fmt.Errorf("%q is not JSON; a text needs its quotes", args[1]))
+	}
+	a, err := client.Put(c.Context(), args[0], json.RawMessage(args[1]), s.condition(c))
+	return s.told(c, a, err)
+}
+
+func (s *storeCLI) delete(c *cobra.Command, client *store.Client, args []string) error {
+	a, err := client.Delete(c.Context(), args[0], s.condition(c))
+	return s.told(c, a, err)
+}
+
+func (s *storeCLI) txn(c *cobra.Command, client *store.Client, _ []string) error {
+	d := json.NewDecoder(io.LimitReader(c.InOrStdin(), 1<<20))
+	d.DisallowUnknownFields()
+	var r kv.Request
+	if err := d.Decode(&r); err != nil {
+		return badCall(fmt.Errorf("standard input: %w", err))
+	}
+	a, err := client.Txn(c.Context(), r)
+	return s.told(c, a, err)
+}
+
+// told prints what a write came to.
+func (s *storeCLI) told(c *cobra.Command, a kv.Answer, err error) error {
+	if err != nil {
+		return err
+	}
+	if s.asJSON {
+		return printJSON(c.OutOrStdout(), a)
+	}
+	rows := [][]any{{"HELD", "REVISION", "KEY", "KEY REVISION", "VALUE"}}
+	for _, r := range a.Results {
+		rows = append(rows, []any{a.Held, a.Revision, r.Key, r.Revision, string(r.Value)})
+	}
+	return table(c.OutOrStdout(), rows...)
+}
--- a/internal/raftdisk/disk.go
+++ b/internal/raftdisk/disk.go
@@ -22,6 +22,7 @@
 const (
 	prefixLog    = "l/"
 	prefixStable = "c/"
+	prefixKept   = "k/"
 )
 
 const (
@@ -147,6 +148,20 @@
 	return fmt.Errorf("entries %d to %d lie inside of %d to %d", from, to, first, last)
 }
 
+// Keep writes a value of this node's own, synced. Raft knows nothing of it.
+func (d *Disk) Keep(key string, value []byte) error {
+	return d.store.Put([]byte(prefixKept+key), value)
+}
+
+// Kept reads a value of this node's own; nil if it was never written.
+func (d *Disk) Kept(key string) ([]byte, error) {
+	v, err := d.store.Get([]byte(prefixKept+key), 0)
+	if errors.Is(err, durable.ErrNotFound) {
+		return nil, nil
+	}
+	return v, err
+}
+
 const entryForm = 1
 
 var errEntry = errors.New("can't be read")
--- a/internal/store/admin.go
+++ b/internal/store/admin.go
@@ -93,7 +93,7 @@
 	if !a.fresh(w, r) {
 		return
 	}
-	e, ok := a.store.entry(r.PathValue("key"))
+	e, ok := a.store.Entry(r.PathValue("key"))
 	if !ok {
 		http.Error(w, "no such key", http.StatusNotFound)
 		return
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,183 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"oxbowbridge/internal/kv"
+)
+
+// Client speaks to the admin ports of a store: to any of them, until one answers. In
+// a session, what it repeats takes effect once.
+type Client struct {
+	Nodes   []string // admin addresses
+	HTTP    *http.Client
+	Budget  Budget
+	Session uint64 // opened by the first write
+	number  uint64
+}
+
+// Budget bounds repeated attempts: how many follow the first, and the pause before
+// each, which doubles from Least to Most and is drawn between half of that and all.
+type Budget struct {
+	Attempts    int
+	Least, Most time.Duration
+}
+
+// defaultBudget outlasts the loss of a leader.
+func defaultBudget() Budget {
+	return Budget{Attempts: 12, Least: 50 * time.Millisecond, Most: time.Second}
+}
+
+// Pause before the attempt that follows n others; u is drawn evenly from 0 to 1.
+func (b Budget) Pause(n int, u float64) time.Duration {
+	d := b.Least
+	for range n - 1 {
+		if d = min(2*d, b.Most); d == b.Most {
+			break
+		}
+	}
+	return d/2 + time.Duration(u*float64(d/2))
+}
+
+// StatusError is an answer that is none of the store's good ones.
+type StatusError struct {
+	Code int
+	Text string
+}
+
+func (e *StatusError) Error() string { return fmt.Sprintf("%s (%d)", e.Text, e.Code) }
+
+// ErrNoKey means that a key is not there.
+var ErrNoKey = errors.New("no such key")
+
+// NewClient makes one for some nodes.
+func NewClient(nodes []string) *Client {
+	return &Client{Nodes: nodes, HTTP: &http.Client{Timeout: 2 * applyTimeout}, Budget: defaultBudget()}
+}
+
+// do asks one node after the other until one gives a final answer. What it asks may
+// be repeated: reads, and writes in a session.
+func (c *Client) do(ctx context.Context, method, path string, body []byte) (*http.Response, []byte, error) {
+	if len(c.Nodes) == 0 {
+		return nil, nil, errors.New("no node is known")
+	}
+	var last error
+	at := rand.IntN(len(c.Nodes))
+	for n := range c.Budget.Attempts + 1 {
+		if n > 0 {
+			select {
+			case <-ctx.Done():
+				return nil, nil, errors.Join(ctx.Err(), last)
+			case <-time.After(c.Budget.Pause(n, rand.Float64())):
+			}
+		}
+		req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Nodes[(at+n)%len(c.Nodes)]+path, bytes.NewReader(body))
+		if err != nil {
+			return nil, nil, err
+		}
+		res, err := c.HTTP.Do(req)
+		if err != nil {
+			last = err
+			continue
+		}
+		text, err := io.ReadAll(io.LimitReader(res.Body, 64<<20))
+		res.Body.Close()
+		if err == nil && res.StatusCode != http.StatusServiceUnavailable {
+			return res, text, nil
+		}
+		if last = err; err == nil {
+			last = &StatusError{res.StatusCode, string(bytes.TrimSpace(text))}
+		}
+	}
+	return nil, nil, fmt.Errorf("no node answered in %d attempts: %w", c.Budget.Attempts+1, last)
+}
+
+func (c *Client) ask(ctx context.Context, method, path string, body []byte, to any) error {
+	res, text, err := c.do(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode >= 300 {
+		return &StatusError{res.StatusCode, string(bytes.TrimSpace(text))}
+	}
+	if err := json.Unmarshal(text, to); err != nil {
+		return fmt.Errorf("answer can't be read: %w", err)
+	}
+	return nil
+}
+
+// Get reads a key and its revision; query is "" or that of a weaker read.
+func (c *Client) Get(ctx context.Context, key, query string) (value json.RawMessage, revision uint64, err error) {
+	res, text, err := c.do(ctx, http.MethodGet, "/store/"+key+query, nil)
+	switch {
+	case err != nil:
+		return nil, 0, err
+	case res.StatusCode == http.StatusNotFound:
+		return nil, 0, fmt.Errorf("%w: %s", ErrNoKey, key)
+	case res.StatusCode != http.StatusOK:
+		return nil, 0, &StatusError{res.StatusCode, string(bytes.TrimSpace(text))}
+	}
+	revision, err = parseTag(res.Header.Get("ETag"))
+	return bytes.TrimSpace(text), revision, err
+}
+
+// List reads all keys.
+func (c *Client) List(ctx context.Context, query string) (all map[string]json.RawMessage, err error) {
+	return all, c.ask(ctx, http.MethodGet, "/store"+query, nil, &all)
+}
+
+// Txn carries out a transaction once, however often it must be sent.
+func (c *Client) Txn(ctx context.Context, r kv.Request) (a kv.Answer, err error) {
+	if c.Session == 0 {
+		// One that was opened twice, as an answer was lost, ends by itself.
+		if err := c.ask(ctx, http.MethodPost, "/session", nil, &a); err != nil {
+			return a, fmt.Errorf("open session: %w", err)
+		}
+		c.Session = a.Session
+	}
+	c.number++
+	r.Session, r.Number = c.Session, c.number
+	text, err := json.Marshal(r)
+	if err != nil {
+		return a, err
+	}
+	a = kv.Answer{}
+	return a, c.ask(ctx, http.MethodPost, "/txn", text, &a)
+}
+
+// Put writes a key; unless it is nil, only if the key has the revision.
+func (c *Client) Put(ctx context.Context, key string, value json.RawMessage, revision *uint64) (kv.Answer, error) {
+	return c.write(ctx, kv.Op{Do: "put", Key: key, Value: value}, revision)
+}
+
+// Delete removes a key, on the same condition.
+func (c *Client) Delete(ctx context.Context, key string, revision *uint64) (kv.Answer, error) {
+	return c.write(ctx, kv.Op{Do: "delete", Key: key}, revision)
+}
+
+func (c *Client) write(ctx context.Context, o kv.Op, revision *uint64) (kv.Answer, error) {
+	r := kv.Request{Then: []kv.Op{o}, Else: []kv.Op{{Do: "get", Key: o.Key}}}
+	if revision != nil {
+		r.If = []kv.Compare{{Key: o.Key, Revision: *revision}}
+	}
+	a, err := c.Txn(ctx, r)
+	if err == nil && !a.Held {
+		err = &StatusError{http.StatusPreconditionFailed, "the key has revision " + strconv.FormatUint(a.Results[0].Revision, 10)}
+	}
+	return a, err
+}
+
+// Status asks one node what it is; it does not ask again.
+func (c *Client) Status(ctx context.Context, node string) (st Status, err error) {
+	one := &Client{Nodes: []string{node}, HTTP: c.HTTP}
+	return st, one.ask(ctx, http.MethodGet, "/status", nil, &st)
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -189,12 +189,41 @@
 	}
 }
 
+// Good is a version of a key that the service has used.
+type Good struct {
+	Revision uint64          `json:"revision"`
+	Value    json.RawMessage `json:"value"`
+}
+
+// Keep remembers on this node's own disk which version of a key is good, for a start
+// at which the other nodes are away.
+func (s *Store) Keep(key string, g Good) error {
+	text, err := json.Marshal(g)
+	if err == nil {
+		err = s.disk.Keep(key, text)
+	}
+	if err != nil {
+		return fmt.Errorf("keep %s: %w", key, err)
+	}
+	return nil
+}
+
+// LastGood is what Keep was last given.
+func (s *Store) LastGood(key string) (g Good, found bool, err error) {
+	text, err := s.disk.Kept(key)
+	if err != nil || text == nil {
+		return g, false, err
+	}
+	err = json.Unmarshal(text, &g)
+	return g, err == nil, err
+}
+
 // Watch has call told of each change from now on, in order; value is nil for a
 // key that was deleted. It must not block.
 func (s *Store) Watch(call func(key string, value json.RawMessage)) { s.state.watch(call) }
 
-// entry is a key as this node knows it.
-func (s *Store) entry(key string) (kv.Entry, bool) { return s.state.get(key) }
+// Entry is a key with its revision, as this node knows it.
+func (s *Store) Entry(key string) (kv.Entry, bool) { return s.state.get(key) }
 
 // Get reads a key as this node knows it, however old that is.
 func (s *Store) Get(key string) (json.RawMessage, bool) {
--- a/tests/linear_test.go
+++ b/tests/linear_test.go
@@ -365,3 +365,82 @@
 		assert.Equal(t, 400, code)
 	}
 }
+
+// TestColdReplica: a node that comes back alone serves no setting of the store and
+// takes none from its old log; the service starts on the version that it last
+// started on. With the others back, it catches up.
+func TestColdReplica(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, object{})
+	classes := func(name string) string {
+		set := settings()
+		set["classes"] = []object{{"name": name, "effect": "idempotent", "value": 1, "aim_ns": 1e9, "deadline_ns": 2e9}}
+		text, err := json.Marshal(set)
+		require.NoError(t, err)
+		return string(text)
+	}
+	c.put(0, "config/settings", classes("first"))
+	c.kill(2)
+	c.start(2)
+	await(t, "a start on the first settings", func() bool { return strings.Contains(c.nodes[2].log(), `"last_good":false`) })
+	c.put(0, "config/settings", classes("second")) // node 2 has it in its log, and never started on it
+	c.has(2, "config/settings", classes("second"))
+	for i := range 3 {
+		c.kill(i)
+	}
+	c.start(2)
+	c.nodes[2].ready()
+	assert.Contains(t, c.nodes[2].log(), `"last_good":true`)
+	w := &world{service: c.nodes[2]}
+	assert.Equal(t, []int{200, 400}, []int{w.status("first", "ok"), w.status("second", "ok")})
+	code, text := c.http(2, "GET", "/store/config/settings", "")
+	assert.Equal(t, 503, code, text)
+	c.start(0)
+	c.start(1)
+	c.has(2, "config/settings", classes("second"))
+	for _, set := range []string{classes("second"), `{"classes":[]}`} { // the other would not start
+		c.put(0, "config/settings", set)
+		c.kill(2)
+		c.start(2)
+		c.nodes[2].ready()
+		assert.Equal(t, 200, (&world{service: c.nodes[2]}).status("second", "ok"))
+	}
+	assert.Contains(t, c.nodes[2].log(), "settings of the store are not usable")
+}
+
+// TestStoreCommands: the command line works at any node, also just after a kill.
+func TestStoreCommands(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, object{})
+	var nodes []string
+	for _, p := range c.peers {
+		nodes = append(nodes, p["admin"].(string))
+	}
+	all := "--nodes=" + strings.Join(nodes, ",")
+	out, errs, code := cli(t, "", "store", "put", "note/a", `"one"`, all)
+	require.Zero(t, code, errs)
+	out, errs, code = cli(t, "", "store", "get", "note/a", "--nodes="+nodes[1])
+	require.Zero(t, code, errs)
+	assert.Equal(t, "\"one\"\n", out)
+	_, errs, code = cli(t, "", "store", "put", "note/a", `"two"`, "--if-revision=0", all)
+	assert.Equal(t, 1, code)
+	assert.Contains(t, errs, "the key has revision")
+	c.kill(c.leader())
+	out, errs, code = cli(t, `{"then":[{"do":"put","key":"note/b","value":2},{"do":"get","key":"note/a"}]}`, "store", "txn", "--json", all)
+	require.Zero(t, code, errs)
+	assert.Contains(t, out, `"value": "one"`)
+	out, errs, code = cli(t, "", "store", "get", all)
+	require.Zero(t, code, errs)
+	assert.Contains(t, out, "note/b")
+	out, _, code = cli(t, "", "store", "status", all)
+	assert.Zero(t, code)
+	assert.Contains(t, out, "Leader")
+	assert.Contains(t, out, "refused", "the one that is away")
+	_, _, code = cli(t, "", "store", "delete", "note/b", all)
+	assert.Zero(t, code)
+	_, errs, code = cli(t, "", "store", "get", "note/b", all)
+	assert.Equal(t, 1, code)
+	assert.Contains(t, errs, "no such key")
+	_, _, code = cli(t, "", "store", "put", "note/b", "text", all)
+	assert.Equal(t, 2, code)
+}
