Durable store: one header code for three files; no parsing and counting done twice

Seen in reading the change: segment, checkpoint and manifest each wrote and checked magic, format, store and checksum by themselves; the committer parsed (and summed) the frame that it had just encoded; each opening went through all keys to count lost ones. Change: newHead, sealHead and checkHead serve all three; a request keeps its frame; the index counts lost keys as they come and go. The bytes on disk and all checks are as they were; the manifest's fault now says header's checksum, as the others do.

--- a/internal/durable/checkpoint.go
+++ b/internal/durable/checkpoint.go
@@ -29,17 +29,14 @@
 }
 
 func (h *ckpHeader) encode() []byte {
-	b := make([]byte, headerLen)
+	b := newHead(headerLen, ckpMagic, h.store)
 	e := binary.LittleEndian
-	copy(b, ckpMagic)
-	e.PutUint32(b[8:], formatVersion)
-	e.PutUint64(b[12:], h.store)
 	e.PutUint32(b[20:], h.number)
 	e.PutUint64(b[24:], h.at.seq)
 	e.PutUint32(b[32:], h.at.segment)
 	e.PutUint64(b[36:], uint64(h.at.offset))
 	e.PutUint32(b[44:], h.at.chain)
-	e.PutUint32(b[headerLen-sumLen:], sum(saltOf(h.store, 'c', h.number), b[:headerLen-sumLen]))
+	sealHead(b, 'c', h.number)
 	return b
 }
 
@@ -47,18 +44,12 @@
 	if len(b) < headerLen {
 		return ckpHeader{}, faulty(name, 0, "header is cut short")
 	}
+	b = b[:headerLen]
 	e := binary.LittleEndian
-	if string(b[:8]) != ckpMagic {
-		return ckpHeader{}, faulty(name, 0, "not a checkpoint")
-	}
-	h := ckpHeader{e.Uint64(b[12:]), e.Uint32(b[20:]), position{e.Uint32(b[32:]), int64(e.Uint64(b[36:])), e.Uint64(b[24:]), e.Uint32(b[44:])}}
-	if e.Uint32(b[headerLen-sumLen:]) != sum(saltOf(h.store, 'c', h.number), b[:headerLen-sumLen]) {
-		return ckpHeader{}, faulty(name, 0, "header's checksum is wrong")
-	}
-	if v := e.Uint32(b[8:]); v != formatVersion {
-		return ckpHeader{}, faulty(name, 8, "format %d, want %d", v, formatVersion)
+	if err := checkHead(b, ckpMagic, 'c', e.Uint32(b[20:]), name, "a checkpoint"); err != nil {
+		return ckpHeader{}, err
 	}
-	return h, nil
+	return ckpHeader{e.Uint64(b[12:]), e.Uint32(b[20:]), position{e.Uint32(b[32:]), int64(e.Uint64(b[36:])), e.Uint64(b[24:]), e.Uint32(b[44:])}}, nil
 }
 
 // ckpWriter writes a checkpoint in steps.
--- a/internal/durable/commit.go
+++ b/internal/durable/commit.go
@@ -25,8 +25,8 @@
 	upkeep bool         // of the store itself: may use the last byte
 	do     func() error // in place of a batch
 	then   func(seq uint64, err error)
-	seq    uint64
-	at     int // in the group's buffer
+	frame  frame // as it was written
+	at     int   // in the group's buffer
 }
 
 // logEnd is where the committer writes.
@@ -168,8 +168,8 @@
 	}
 	s.mu.Lock()
 	for _, r := range group {
-		f, _ := parseFrame(s.log.buf[r.at:], s.log.seg.salt)
-		err := s.idx.apply(s.log.seg.number, begin+int64(r.at), f, s.log.buf[r.at+frameLen:][:f.length])
+		payload := s.log.buf[r.at+frameLen:][:r.frame.length]
+		err := s.idx.apply(s.log.seg.number, begin+int64(r.at), r.frame, payload)
 		if err != nil { // its operations were encoded just now
 			panic("durable: " + err.Error())
 		}
@@ -182,7 +182,7 @@
 	}
 	s.stats.batches.Add(int64(len(group)))
 	for _, r := range group {
-		r.then(r.seq, nil)
+		r.then(r.frame.seq, nil)
 	}
 }
 
@@ -232,10 +232,9 @@
 		buf = append(append(buf, make([]byte, frameLen)...), r.batch.buf...)
 		payload := buf[r.at+frameLen:]
 		end.seq++
-		r.seq = end.seq
-		sealOps(payload, salt, r.seq)
-		f := frame{seq: r.seq, synced: synced, ops: r.batch.ops, prev: end.chain}
-		end.chain = f.put(buf[r.at:], payload, salt)
+		sealOps(payload, salt, end.seq)
+		r.frame = frame{seq: end.seq, synced: synced, ops: r.batch.ops, prev: end.chain}
+		end.chain = r.frame.put(buf[r.at:], payload, salt)
 	}
 	end.offset += int64(len(buf))
 	s.log.buf = buf
--- a/internal/durable/files.go
+++ b/internal/durable/files.go
@@ -45,6 +45,39 @@
 	headerLen = 64
 )
 
+// newHead begins the header of a file: magic, format and store are the same in all.
+func newHead(length int, magic string, store uint64) []byte {
+	b := make([]byte, length)
+	copy(b, magic)
+	binary.LittleEndian.PutUint32(b[8:], formatVersion)
+	binary.LittleEndian.PutUint64(b[12:], store)
+	return b
+}
+
+// sealHead ends a header with its checksum, and gives that.
+func sealHead(b []byte, kind byte, number uint32) uint32 {
+	at := len(b) - sumLen
+	c := sum(saltOf(binary.LittleEndian.Uint64(b[12:]), kind, number), b[:at])
+	binary.LittleEndian.PutUint32(b[at:], c)
+	return c
+}
+
+// checkHead finds what sealHead did not write, or another version did; what names the
+// file's kind.
+func checkHead(b []byte, magic string, kind byte, number uint32, name, what string) error {
+	e, at := binary.LittleEndian, len(b)-sumLen
+	if string(b[:8]) != magic {
+		return faulty(name, 0, "not %s", what)
+	}
+	if e.Uint32(b[at:]) != sum(saltOf(e.Uint64(b[12:]), kind, number), b[:at]) {
+		return faulty(name, 0, "header's checksum is wrong")
+	}
+	if v := e.Uint32(b[8:]); v != formatVersion {
+		return faulty(name, 8, "format %d, want %d", v, formatVersion)
+	}
+	return nil
+}
+
 // segHeader is at the start of a segment of the log.
 type segHeader struct {
 	store     uint64
@@ -56,17 +89,13 @@
 }
 
 func (h *segHeader) encode() []byte {
-	b := make([]byte, headerLen)
+	b := newHead(headerLen, segMagic, h.store)
 	e := binary.LittleEndian
-	copy(b, segMagic)
-	e.PutUint32(b[8:], formatVersion)
-	e.PutUint64(b[12:], h.store)
 	e.PutUint32(b[20:], h.number)
 	e.PutUint64(b[24:], uint64(h.prevSize))
 	e.PutUint64(b[32:], h.prevSeq)
 	e.PutUint32(b[40:], h.prevChain)
-	h.sum = sum(saltOf(h.store, 'l', h.number), b[:headerLen-sumLen])
-	e.PutUint32(b[headerLen-sumLen:], h.sum)
+	h.sum = sealHead(b, 'l', h.number)
 	return b
 }
 
@@ -74,19 +103,13 @@
 	if len(b) < headerLen {
 		return segHeader{}, faulty(name, 0, "header is cut short")
 	}
+	b = b[:headerLen]
 	e := binary.LittleEndian
-	if string(b[:8]) != segMagic {
-		return segHeader{}, faulty(name, 0, "not a segment of a log")
-	}
-	h := segHeader{store: e.Uint64(b[12:]), number: e.Uint32(b[20:]), prevSize: int64(e.Uint64(b[24:])),
-		prevSeq: e.Uint64(b[32:]), prevChain: e.Uint32(b[40:]), sum: e.Uint32(b[headerLen-sumLen:])}
-	if h.sum != sum(saltOf(h.store, 'l', h.number), b[:headerLen-sumLen]) {
-		return segHeader{}, faulty(name, 0, "header's checksum is wrong")
-	}
-	if v := e.Uint32(b[8:]); v != formatVersion {
-		return segHeader{}, faulty(name, 8, "format %d, want %d", v, formatVersion)
+	if err := checkHead(b, segMagic, 'l', e.Uint32(b[20:]), name, "a segment of a log"); err != nil {
+		return segHeader{}, err
 	}
-	return h, nil
+	return segHeader{store: e.Uint64(b[12:]), number: e.Uint32(b[20:]), prevSize: int64(e.Uint64(b[24:])),
+		prevSeq: e.Uint64(b[32:]), prevChain: e.Uint32(b[40:]), sum: e.Uint32(b[headerLen-sumLen:])}, nil
 }
 
 const (
@@ -122,11 +145,8 @@
 }
 
 func (m *manifest) encode() []byte {
-	b := make([]byte, manifestLen)
+	b := newHead(manifestLen, manifestMagic, m.store)
 	e := binary.LittleEndian
-	copy(b, manifestMagic)
-	e.PutUint32(b[8:], formatVersion)
-	e.PutUint64(b[12:], m.store)
 	e.PutUint64(b[20:], m.generation)
 	e.PutUint32(b[28:], m.active)
 	e.PutUint64(b[32:], m.floor)
@@ -138,7 +158,7 @@
 		e.PutUint64(at[12:], uint64(c.size))
 		e.PutUint32(at[20:], c.segment)
 	}
-	e.PutUint32(b[manifestLen-sumLen:], sum(saltOf(m.store, 'm', 0), b[:manifestLen-sumLen]))
+	sealHead(b, 'm', 0)
 	return b
 }
 
@@ -147,8 +167,8 @@
 	if len(b) != manifestLen {
 		return nil, faulty(manifestName, 0, "%d bytes long, want %d", len(b), manifestLen)
 	}
-	if string(b[:8]) != manifestMagic {
-		return nil, faulty(manifestName, 0, "not a manifest")
+	if err := checkHead(b, manifestMagic, 'm', 0, manifestName, "a manifest"); err != nil {
+		return nil, err
 	}
 	m := &manifest{store: e.Uint64(b[12:]), generation: e.Uint64(b[20:]), active: e.Uint32(b[28:]), floor: e.Uint64(b[32:]),
 		first: e.Uint32(b[40:])}
@@ -156,12 +176,6 @@
 		at := b[44+24*i:]
 		m.ckps[i] = ckpRef{e.Uint32(at), e.Uint64(at[4:]), int64(e.Uint64(at[12:])), e.Uint32(at[20:])}
 	}
-	if e.Uint32(b[manifestLen-sumLen:]) != sum(saltOf(m.store, 'm', 0), b[:manifestLen-sumLen]) {
-		return nil, faulty(manifestName, 0, "checksum is wrong")
-	}
-	if v := e.Uint32(b[8:]); v != formatVersion {
-		return nil, faulty(manifestName, 8, "format %d, want %d", v, formatVersion)
-	}
 	return m, nil
 }
 
--- a/internal/durable/index.go
+++ b/internal/durable/index.go
@@ -72,6 +72,7 @@
 	inline int   // values up to this length are held in memory
 	live   int64 // bytes
 	onDisk int64 // keys whose value is on disk
+	lost   int64 // keys whose value is
 }
 
 func newIndex(inlineBytes int) *index {
@@ -151,6 +152,9 @@
 			x.dues.Delete(due{e.expiry, e.key()})
 		}
 	}
+	if e.place == lost {
+		x.lost += n
+	}
 	if e.place != onDisk {
 		return
 	}
--- a/internal/durable/recover.go
+++ b/internal/durable/recover.go
@@ -386,11 +386,5 @@
 	}
 	r.report.Store = fmt.Sprintf("%016x", r.man.store)
 	r.report.Seq, r.report.Keys, r.report.Segments = r.end.seq, r.idx.tree.Len(), len(r.segments)
-	r.report.LostKeys = 0
-	r.idx.tree.Scan(func(e entry) bool {
-		if e.place == lost {
-			r.report.LostKeys++
-		}
-		return true
-	})
+	r.report.LostKeys = int(r.idx.lost)
 }
