Store and toy: one way to ask the leader, one accept loop; an unused read is gone

Seen in reading the change: ask and passOn built the same request to the leader; a list of commands was encoded and decoded again only to be checked; the toy engine and records service had the same accept loop; Store.Read had no caller. Change: admin.send, requestFor and toy's serve are called by both sides. A leader's refusal of a forwarded write now names its address in place of its name.

--- a/internal/store/admin.go
+++ b/internal/store/admin.go
@@ -175,8 +175,8 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// ask sends a request to the leader.
-func (a *admin) ask(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+// send sends a request to the leader, if that is another node.
+func (a *admin) send(ctx context.Context, method, path string, body []byte, fields http.Header) (*http.Response, error) {
 	p, ok := a.store.leader()
 	if !ok || p.Name == a.store.self.Name {
 		return nil, errNoLeader
@@ -185,15 +185,33 @@
 	if err != nil {
 		return nil, fmt.Errorf("ask leader: %w", err)
 	}
+	copyFields(req.Header, fields, "If-Match", "If-None-Match", headSession, headNumber)
 	req.Header.Set("Forwarded", "by="+a.store.self.Name)
 	res, err := a.client.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("ask leader: %w", err)
 	}
+	return res, nil
+}
+
+func copyFields(to, from http.Header, names ...string) {
+	for _, name := range names {
+		if v := from.Get(name); v != "" {
+			to.Set(name, v)
+		}
+	}
+}
+
+// ask reads the leader's good answer to a request.
+func (a *admin) ask(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	res, err := a.send(ctx, method, path, body, nil)
+	if err != nil {
+		return nil, err
+	}
 	defer res.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(res.Body, 2*valueMost))
 	if err == nil && res.StatusCode >= 300 {
-		err = fmt.Errorf("leader %s: %s", p.Name, bytes.TrimSpace(text))
+		err = fmt.Errorf("leader at %s: %s", res.Request.URL.Host, bytes.TrimSpace(text))
 	}
 	return text, err
 }
--- a/internal/store/state.go
+++ b/internal/store/state.go
@@ -27,14 +27,20 @@
 
 // requestOf reads an entry of the log.
 func requestOf(data []byte) (*kv.Request, error) {
-	r := &kv.Request{}
 	if !bytes.HasPrefix(data, []byte("[")) {
+		r := &kv.Request{}
 		return r, json.Unmarshal(data, r)
 	}
 	var list []command
 	if err := json.Unmarshal(data, &list); err != nil {
 		return nil, err
 	}
+	return requestFor(list), nil
+}
+
+// requestFor is what a list of commands asks for.
+func requestFor(list []command) *kv.Request {
+	r := &kv.Request{}
 	for _, c := range list {
 		if c.Value == nil || string(c.Value) == "null" {
 			r.Then = append(r.Then, kv.Op{Do: "delete", Key: c.Key})
@@ -42,7 +48,7 @@
 			r.Then = append(r.Then, kv.Op{Do: "put", Key: c.Key, Value: c.Value})
 		}
 	}
-	return r, nil
+	return r
 }
 
 // outcome is what Apply gives to whoever proposed the entry.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -246,15 +246,6 @@
 	}
 }
 
-// Read reads a key no older than was asked for, and gives its age at most.
-func (s *Store) Read(ctx context.Context, key string, f Freshness) (value json.RawMessage, found bool, age time.Duration, err error) {
-	if age, err = s.fresh(ctx, f); err != nil {
-		return nil, false, 0, err
-	}
-	value, found = s.Get(key)
-	return value, found, age, nil
-}
-
 // committed asks whoever leads for its read index.
 func (s *Store) committed(ctx context.Context) (uint64, error) {
 	if s.raft.State() == raft.Leader {
@@ -272,17 +263,13 @@
 }
 
 func (s *Store) apply(list ...command) error {
+	if err := requestFor(list).Check(); err != nil {
+		return err
+	}
 	text, err := json.Marshal(list)
 	if err != nil {
 		return fmt.Errorf("encode commands: %w", err)
 	}
-	r, err := requestOf(text)
-	if err == nil {
-		err = r.Check()
-	}
-	if err != nil {
-		return err
-	}
 	_, err = s.propose(text)
 	return err
 }
--- a/internal/store/txn.go
+++ b/internal/store/txn.go
@@ -155,33 +155,17 @@
 	if a.store.raft.State() == raft.Leader {
 		return false
 	}
-	p, ok := a.store.leader()
-	if !ok || p.Name == a.store.self.Name || r.Header.Get("Forwarded") != "" {
+	if r.Header.Get("Forwarded") != "" { // guards against two nodes that take each other for the leader
 		unavailable(w, errNoLeader)
 		return true
 	}
-	req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+p.Admin+r.URL.EscapedPath(), bytes.NewReader(body))
+	res, err := a.send(r.Context(), r.Method, r.URL.EscapedPath(), body, r.Header)
 	if err != nil {
-		fail(w, err)
-		return true
-	}
-	for _, field := range []string{"If-Match", "If-None-Match", headSession, headNumber} {
-		if v := r.Header.Get(field); v != "" {
-			req.Header.Set(field, v)
-		}
-	}
-	req.Header.Set("Forwarded", "by="+a.store.self.Name)
-	res, err := a.client.Do(req)
-	if err != nil {
-		unavailable(w, fmt.Errorf("ask leader: %w", err))
+		unavailable(w, err)
 		return true
 	}
 	defer res.Body.Close()
-	for _, field := range []string{"ETag", "Retry-After", "Content-Type"} {
-		if v := res.Header.Get(field); v != "" {
-			w.Header().Set(field, v)
-		}
-	}
+	copyFields(w.Header(), res.Header, "ETag", "Retry-After", "Content-Type")
 	w.WriteHeader(res.StatusCode)
 	io.Copy(w, io.LimitReader(res.Body, kv.Ops*2*kv.ValueBytes))
 	return true
--- a/internal/toy/engine.go
+++ b/internal/toy/engine.go
@@ -34,6 +34,15 @@
 // Serve takes links until the listener is closed.
 func (e *Engine) Serve(ln net.Listener) error {
 	e.runs, e.cores, e.began = map[string]chan []byte{}, make(chan struct{}, e.Cores), time.Now()
+	return serve(ln, func(c net.Conn) {
+		readLines(c, func(w []string) bool { return w[0] == "RUN" || w[0] == "FEED" }, func(w []string, body []byte) {
+			e.command(c, w, body)
+		})
+	})
+}
+
+// serve handles each connection, and closes it then, until the listener is closed.
+func serve(ln net.Listener, handle func(net.Conn)) error {
 	for {
 		c, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -44,9 +53,7 @@
 		}
 		go func() {
 			defer c.Close()
-			readLines(c, func(w []string) bool { return w[0] == "RUN" || w[0] == "FEED" }, func(w []string, body []byte) {
-				e.command(c, w, body)
-			})
+			handle(c)
 		}()
 	}
 }
--- a/internal/toy/records.go
+++ b/internal/toy/records.go
@@ -1,7 +1,6 @@
 package toy
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -14,22 +13,12 @@
 
 // Serve takes connections until the listener is closed.
 func (r *Records) Serve(ln net.Listener) error {
-	for {
-		c, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		go func() {
-			defer c.Close()
-			readLines(c, func(w []string) bool { return w[0] == "OP" }, func(w []string, _ []byte) {
-				if w[0] == "OP" {
-					time.Sleep(r.Work)
-					fmt.Fprintf(c, "%s DONE 8\r\nrecorded\r\n", w[1])
-				}
-			})
-		}()
-	}
+	return serve(ln, func(c net.Conn) {
+		readLines(c, func(w []string) bool { return w[0] == "OP" }, func(w []string, _ []byte) {
+			if w[0] == "OP" {
+				time.Sleep(r.Work)
+				fmt.Fprintf(c, "%s DONE 8\r\nrecorded\r\n", w[1])
+			}
+		})
+	})
 }
