--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -35,14 +35,32 @@
 		panic(err)
 	}
 	program = filepath.Join(dir, "oxbowbridge")
-	if out, err := exec.Command("go", "build", "-o", program, "../cmd/oxbowbridge").CombinedOutput(); err != nil {
-		panic(string(out))
+	build := strings.ReplaceAll(deployed("build"), "bin/", dir+"/")
+	sh := exec.Command("sh", "-c", build)
+	sh.Dir = ".."
+	if out, err := sh.CombinedOutput(); err != nil {
+		panic(build + ": " + string(out))
 	}
 	code := m.Run()
 	os.RemoveAll(dir)
 	os.Exit(code)
 }
 
+// deployed is the value of a key of the deploy file: the tests play the program
+// that it builds.
+func deployed(key string) string {
+	text, err := os.ReadFile("../deploy/balancer.toml")
+	if err != nil {
+		panic(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, key+" = "); ok {
+			return strings.Trim(value, "\"\n")
+		}
+	}
+	panic("deploy file: no " + key)
+}
+
 type object = map[string]any
 
 // settings are those of a small site: 20 requests of 46 kB fill its memory.
