Reports to the directory by a plain UDP socket: one without a name ended every service

This one link is given up as an nbio connection. "directory not reached" is said once until a report is taken.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"oxbowbridge/internal/deadline"
-	"oxbowbridge/internal/exchange"
 	"oxbowbridge/internal/link"
 	"oxbowbridge/internal/socket"
 )
@@ -21,17 +20,16 @@
 	link.Env
 	addr string
 	name string
-	conn *sock
+	sock *sock
 	next *deadline.Entry
 	open bool
 	shut bool
+	away bool // the latest report was not taken
 }
 
-// sock is the socket to one address; a Link that has moved leaves it.
-type sock struct {
-	*socket.Conn
-	link *Link
-}
+// sock is the socket to one address, nil until it is open; a Link that has moved
+// leaves it.
+type sock struct{ *socket.Datagrams }
 
 // New returns a Link that reports nothing yet, and never without an address.
 func New(addr, name string, env link.Env) *Link {
@@ -48,21 +46,22 @@
 	if l.addr == "" {
 		return
 	}
-	if l.conn != nil {
+	if l.sock != nil {
 		l.pulse("open")
 		return
 	}
-	s := &sock{link: l}
-	l.conn = s
-	l.Dial("udp", l.addr, s, func(c *socket.Conn, err error) {
+	s := &sock{}
+	l.sock = s
+	l.DialDatagrams(l.addr, func(d *socket.Datagrams, err error) {
 		switch {
+		case err != nil && l.sock == s:
+			l.sock = nil // the next report opens another
+			l.missed(err)
 		case err != nil:
-			l.Log.Warn("directory not reached", zap.Error(err))
-			s.left()
-		case l.conn != s:
-			c.Abandon()
+		case l.sock != s:
+			d.Close()
 		default:
-			s.Conn = c
+			s.Datagrams = d
 			l.pulse("open")
 		}
 	})
@@ -74,10 +73,10 @@
 		return
 	}
 	l.addr = addr
-	if l.conn != nil && l.conn.Conn != nil {
-		l.conn.Abandon()
+	if l.sock != nil && l.sock.Datagrams != nil {
+		l.sock.Close()
 	}
-	l.conn = nil
+	l.sock, l.away = nil, false
 	if l.open && !l.shut {
 		l.Due.Cancel(l.next)
 		l.Open()
@@ -92,19 +91,20 @@
 }
 
 func (l *Link) pulse(state string) {
-	if l.conn != nil && l.conn.Conn != nil {
-		l.conn.Write([]byte("PULSE " + l.name + " " + state))
+	if l.sock == nil || l.sock.Datagrams == nil {
+		return
+	}
+	if err := l.sock.Send([]byte("PULSE " + l.name + " " + state)); err != nil {
+		l.missed(err)
+	} else {
+		l.away = false
 	}
 }
 
-// Data skips what comes: a report gets no answer.
-func (s *sock) Data([]byte) {}
-
-// Closed has the next report open a new socket: the directory was away.
-func (s *sock) Closed(error) { s.link.Exchange.Post(exchange.Step(s.left)) }
-
-func (s *sock) left() {
-	if s.link.conn == s {
-		s.link.conn = nil
+// missed says once that reports are not taken. The next one is sent all the same.
+func (l *Link) missed(err error) {
+	if !l.away {
+		l.Log.Warn("directory not reached", zap.Error(err))
 	}
+	l.away = true
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -12,6 +12,8 @@
 	"oxbowbridge/internal/socket"
 )
 
+const dialTimeout = time.Second
+
 // Env is what a link works with. A link lives in the core's goroutine, and what
 // happens on its connections is brought there as a Step.
 type Env struct {
@@ -24,12 +26,19 @@
 
 // Dial connects and has opened called in the core's goroutine.
 func (e Env) Dial(network, addr string, h socket.Handler, opened func(*socket.Conn, error)) {
-	const timeout = time.Second
-	e.Loop.Dial(network, addr, timeout, func(*socket.Conn) socket.Handler { return h }, func(c *socket.Conn, err error) {
+	e.Loop.Dial(network, addr, dialTimeout, func(*socket.Conn) socket.Handler { return h }, func(c *socket.Conn, err error) {
 		e.Exchange.Post(exchange.Step(func() { opened(c, err) }))
 	})
 }
 
+// DialDatagrams opens a socket for datagrams and has opened called in the core's
+// goroutine.
+func (e Env) DialDatagrams(addr string, opened func(*socket.Datagrams, error)) {
+	socket.DialDatagrams(addr, dialTimeout, func(d *socket.Datagrams, err error) {
+		e.Exchange.Post(exchange.Step(func() { opened(d, err) }))
+	})
+}
+
 // Lines is the socket.Handler of a connection that speaks in lines. It parses in
 // the event loop; Read and Lost are called in the core's goroutine, and no more
 // once Live says that the link has left the connection.
