Store: watches, resumable at any node, with one shared history and no queues

Need: who follows the store's keys had to poll it.

GET /watch streams revisions as server-sent events from a position; internal/watch keeps the last 4,096 revisions or 8 MiB without I/O or clock, a watcher has a position and no queue. One that doesn't read for 5 s is cut off; a position that is gone gets a typed "compacted". Client.Watch goes on at another node; store watch prints. GET /store says which revision it shows.

Measured: 150 transactions with each of three nodes killed once, two followers: each told once, in order, whole. A watcher that never reads holds a page of 64 KiB and is gone after 5 s while 160 values of 60 KiB reach the others.

--- a/cmd/oxbowbridge/store.go
+++ b/cmd/oxbowbridge/store.go
@@ -6,13 +6,18 @@
 	"fmt"
 	"io"
 	"maps"
+	"os"
+	"os/signal"
 	"slices"
+	"strings"
+	"syscall"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
 
 	"oxbowbridge/internal/kv"
 	"oxbowbridge/internal/store"
+	"oxbowbridge/internal/watch"
 )
 
 // storeCLI is what the sub-commands of store share.
@@ -22,6 +27,8 @@
 	local  bool
 	stale  string
 	match  uint64
+	from   uint64
+	list   bool
 }
 
 func storeCommand() *cobra.Command {
@@ -39,6 +46,9 @@
 	get := add("get [KEY]", "Print a key, or all", cobra.MaximumNArgs(1), s.get)
 	get.Flags().BoolVar(&s.local, "local", false, "what the node knows, however old")
 	get.Flags().StringVar(&s.stale, "stale", "", "a read that may be so old, such as 2s")
+	follow := add("watch [PREFIX]", "Print what changes, at whichever node is there, until interrupted", cobra.MaximumNArgs(1), s.watch)
+	follow.Flags().Uint64Var(&s.from, "from", 0, "from this revision on; 0 is from now")
+	follow.Flags().BoolVar(&s.list, "list", false, "print the keys first, and follow from there")
 	put := add("put KEY JSON", "Write a key, once", cobra.ExactArgs(2), s.put)
 	del := add("delete KEY", "Remove a key", cobra.ExactArgs(1), s.delete)
 	for _, sub := range []*cobra.Command{put, del} {
@@ -114,7 +124,7 @@
 		_, err = fmt.Fprintf(c.OutOrStdout(), "%s\n", value)
 		return err
 	}
-	all, err := client.List(c.Context(), query)
+	all, _, err := client.List(c.Context(), query)
 	if err != nil {
 		return err
 	}
@@ -128,6 +138,60 @@
 	return table(c.OutOrStdout(), rows...)
 }
 
+// watch prints one line for each key that changes, or with --json for each revision.
+func (s *storeCLI) watch(c *cobra.Command, client *store.Client, args []string) error {
+	if s.list && s.from != 0 {
+		return badCall(errors.New("--list and --from exclude each other"))
+	}
+	ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	prefix, out := "", c.OutOrStdout()
+	if len(args) == 1 {
+		prefix = args[0]
+	}
+	show := func(r watch.Revision) error {
+		if s.asJSON {
+			return json.NewEncoder(out).Encode(r)
+		}
+		for _, k := range r.Changes {
+			value := string(k.Value)
+			if k.Gone {
+				value = "(deleted)"
+			}
+			if _, err := fmt.Fprintf(out, "%d\t%s\t%s\n", r.Number, k.Key, value); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	from := s.from
+	if s.list {
+		all, revision, err := client.List(ctx, "")
+		if err != nil {
+			return err
+		}
+		first := watch.Revision{Number: revision}
+		for _, key := range slices.Sorted(maps.Keys(all)) {
+			if strings.HasPrefix(key, prefix) {
+				first.Changes = append(first.Changes, watch.Change{Key: key, Value: all[key]})
+			}
+		}
+		if err := show(first); err != nil {
+			return err
+		}
+		from = revision + 1
+	}
+	err := client.Watch(ctx, prefix, from, show)
+	var gone *watch.CompactedError
+	switch {
+	case ctx.Err() != nil:
+		return nil // interrupted
+	case errors.As(err, &gone):
+		return fmt.Errorf("%w; start again with --list", err)
+	}
+	return err
+}
+
 func (s *storeCLI) condition(c *cobra.Command) *uint64 {
 	if !c.Flags().Changed("if-revision") {
 		return nil
--- a/internal/store/admin.go
+++ b/internal/store/admin.go
@@ -27,19 +27,23 @@
 	Last     uint64 `json:"last"`            // of the node's log
 	Mirrored uint64 `json:"mirrored"`        // the index up to which the store of record has all
 	SQLError string `json:"error,omitempty"` // why it hasn't more
+	Watchers int    `json:"watchers"`
 }
 
 // admin is the operators' HTTP port, on a loopback address: GET /status,
-// GET /store, and GET, PUT and DELETE /store/KEY. Nodes pass writes to their
+// GET /store, GET, PUT and DELETE /store/KEY, GET /watch, POST /txn and POST
+// /session. Nodes pass writes to their
 // leader by it, and ask it how far the log is committed (GET /index).
 type admin struct {
 	store  *Store
 	server *http.Server
 	client *http.Client
+
+	watchers chan struct{} // one for each that follows
 }
 
 func serveAdmin(s *Store) (*admin, error) {
-	a := &admin{store: s, client: &http.Client{Timeout: applyTimeout + time.Second}}
+	a := &admin{store: s, client: &http.Client{Timeout: applyTimeout + time.Second}, watchers: make(chan struct{}, watchersMost)}
 	ln, err := net.Listen("tcp", s.self.Admin)
 	if err != nil {
 		return nil, fmt.Errorf("admin address: %w", err)
@@ -51,17 +55,18 @@
 		if !a.fresh(w, r) {
 			return
 		}
+		entries, revision := s.state.all()
 		all := map[string]json.RawMessage{}
-		for key, e := range s.state.since(0) {
-			if !e.Gone {
-				all[key] = e.Value
-			}
+		for key, e := range entries {
+			all[key] = e.Value
 		}
+		w.Header().Set(headRevision, strconv.FormatUint(revision, 10))
 		answer(w, all)
 	})
 	mux.HandleFunc("GET /store/{key...}", a.get)
 	mux.HandleFunc("PUT /store/{key...}", a.put)
 	mux.HandleFunc("DELETE /store/{key...}", a.put)
+	mux.HandleFunc("GET /watch", a.watch)
 	mux.HandleFunc("POST /session", a.session)
 	mux.HandleFunc("POST /txn", a.txn)
 	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ReadTimeout: 5 * time.Second,
@@ -83,6 +88,7 @@
 	if p, ok := s.leader(); ok {
 		st.Leader = p.Name
 	}
+	st.Watchers = len(a.watchers)
 	if s.mirror != nil {
 		st.Mirrored, st.SQLError = s.mirror.progress()
 	}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -56,6 +56,8 @@
 
 func (e *StatusError) Error() string { return fmt.Sprintf("%s (%d)", e.Text, e.Code) }
 
+var errNoNode = errors.New("no node is known")
+
 // ErrNoKey means that a key is not there.
 var ErrNoKey = errors.New("no such key")
 
@@ -68,7 +70,7 @@
 // be repeated: reads, and writes in a session.
 func (c *Client) do(ctx context.Context, method, path string, body []byte) (*http.Response, []byte, error) {
 	if len(c.Nodes) == 0 {
-		return nil, nil, errors.New("no node is known")
+		return nil, nil, errNoNode
 	}
 	var last error
 	at := rand.IntN(len(c.Nodes))
@@ -130,9 +132,21 @@
 	return bytes.TrimSpace(text), revision, err
 }
 
-// List reads all keys.
-func (c *Client) List(ctx context.Context, query string) (all map[string]json.RawMessage, err error) {
-	return all, c.ask(ctx, http.MethodGet, "/store"+query, nil, &all)
+// List reads all keys, and the revision at which they were so: a Watch from the next
+// one on misses nothing.
+func (c *Client) List(ctx context.Context, query string) (all map[string]json.RawMessage, revision uint64, err error) {
+	res, text, err := c.do(ctx, http.MethodGet, "/store"+query, nil)
+	switch {
+	case err != nil:
+		return nil, 0, err
+	case res.StatusCode != http.StatusOK:
+		return nil, 0, &StatusError{res.StatusCode, string(bytes.TrimSpace(text))}
+	}
+	if err := json.Unmarshal(text, &all); err != nil {
+		return nil, 0, fmt.Errorf("answer can't be read: %w", err)
+	}
+	revision, _ = strconv.ParseUint(res.Header.Get(headRevision), 10, 64) // not from the version before
+	return all, revision, nil
 }
 
 // Txn carries out a transaction once, however often it must be sent.
--- a/internal/store/state.go
+++ b/internal/store/state.go
@@ -11,10 +11,14 @@
 	"github.com/hashicorp/raft"
 
 	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/watch"
 )
 
 const valueMost = kv.ValueBytes
 
+// What is kept for those who watch.
+var historyLimits = watch.Limits{Revisions: 4096, Bytes: 8 << 20}
+
 // command sets or deletes a key. An entry of the log is a list of them, which come
 // into force together, or a kv.Request. Lists are what the version before wrote, and
 // stay in use where they say all, so that both versions can be in one cluster.
@@ -61,13 +65,14 @@
 type state struct {
 	mu       sync.Mutex
 	kv       *kv.State
+	history  *watch.History
 	watchers []func(key string, value json.RawMessage)
 	changed  chan struct{}
 	moved    chan struct{} // closed when a command was applied
 }
 
 func newState() *state {
-	return &state{kv: kv.New(), changed: make(chan struct{}, 1), moved: make(chan struct{})}
+	return &state{kv: kv.New(), history: watch.New(historyLimits, 0), changed: make(chan struct{}, 1), moved: make(chan struct{})}
 }
 
 // progress is the last command that the state has, and a channel that is closed once
@@ -106,6 +111,24 @@
 	return out
 }
 
+// follow gives the revisions from a position on, the position to go on from, and a
+// channel that is closed once there is more.
+func (s *state) follow(from uint64, prefix string, p watch.Page) (list []watch.Revision, next uint64, more <-chan struct{}, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list, next, err = s.history.Since(from, prefix, p)
+	return list, next, s.moved, err
+}
+
+// all is every key, and the revision at which they were so.
+func (s *state) all() (entries map[string]entry, revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entries = maps.Clone(s.kv.Entries)
+	maps.DeleteFunc(entries, func(_ string, e entry) bool { return e.Gone })
+	return entries, s.kv.Applied
+}
+
 // Apply carries one entry of the log out, or nothing of it.
 func (s *state) Apply(l *raft.Log) any {
 	r, err := requestOf(l.Data)
@@ -117,16 +140,18 @@
 	} else {
 		out.answer, changed, out.err = s.kv.Apply(l.Index, r)
 	}
-	values := make([]json.RawMessage, len(changed))
+	changes := make([]watch.Change, len(changed))
 	for i, key := range changed {
-		values[i] = s.kv.Entries[key].Value
+		e := s.kv.Entries[key]
+		changes[i] = watch.Change{Key: key, Value: e.Value, Gone: e.Gone}
 	}
+	s.history.Add(l.Index, changes)
 	s.advance()
 	watchers := s.watchers
 	s.mu.Unlock()
-	for i, key := range changed {
+	for _, c := range changes {
 		for _, w := range watchers {
-			w(key, values[i])
+			w(c.Key, c.Value)
 		}
 	}
 	s.signal()
@@ -171,6 +196,7 @@
 	}
 	s.mu.Lock()
 	s.kv = from
+	s.history.Reset(from.Applied)
 	entries := maps.Clone(from.Entries)
 	s.advance()
 	watchers := s.watchers
--- /dev/null
+++ b/internal/watch/watch_test.go
@@ -0,0 +1,95 @@
+package watch
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestMain has rapid try the same histories each time, unless a seed is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
+		flag.Set("rapid.seed", "20261201")
+	}
+	os.Exit(m.Run())
+}
+
+// TestAgainstAll: whatever is added, dropped and reset, a follower that goes page by
+// page gets each revision under its prefix that all of history has, once and in order,
+// or is told that its position is gone; and the history stays within its limits.
+func TestAgainstAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Revisions: rapid.IntRange(1, 20).Draw(t, "revisions"), Bytes: rapid.IntRange(200, 2000).Draw(t, "bytes")}
+		page := Page{Revisions: rapid.IntRange(1, 5).Draw(t, "page"), Bytes: rapid.IntRange(1, 500).Draw(t, "page bytes")}
+		prefix := rapid.SampledFrom([]string{"", "a/", "b/"}).Draw(t, "prefix")
+		h, all := New(limits, 0), []Revision{}
+		next, reset := uint64(1), uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				reset = h.At() + uint64(rapid.IntRange(0, 3).Draw(t, "ahead"))
+				h.Reset(reset)
+			case 1, 2: // the follower takes a page
+				got, to, err := h.Since(next, prefix, page)
+				var gone *CompactedError
+				if err != nil {
+					require.ErrorAs(t, err, &gone)
+					require.Greater(t, gone.Oldest, next, "only what is gone is said to be")
+					next = gone.Oldest
+					continue
+				}
+				require.GreaterOrEqual(t, next, reset, "not across a reset")
+				var want []Revision
+				for _, r := range all {
+					if part := r.under(prefix); r.Number >= next && r.Number < to && len(part.Changes) > 0 {
+						want = append(want, part)
+					}
+				}
+				require.Equal(t, want, got)
+				require.GreaterOrEqual(t, to, next)
+				require.LessOrEqual(t, to, max(next, h.At()+1))
+				next = to
+			default:
+				r := Revision{Number: h.At() + uint64(rapid.IntRange(1, 3).Draw(t, "gap"))}
+				for i := range rapid.IntRange(0, 3).Draw(t, "changes") {
+					key := rapid.SampledFrom([]string{"a/", "b/"}).Draw(t, "of") + fmt.Sprint(i)
+					r.Changes = append(r.Changes, Change{Key: key, Value: json.RawMessage(strings.Repeat("7", i+1))})
+				}
+				h.Add(r.Number, r.Changes)
+				h.Add(r.Number, r.Changes) // read again
+				all = append(all, r)
+			}
+			require.LessOrEqual(t, len(h.list), limits.Revisions)
+			require.LessOrEqual(t, h.bytes, limits.Bytes)
+		}
+		for i := 0; next <= h.At(); i++ { // the rest, in so many pages at most
+			_, to, err := h.Since(next, prefix, page)
+			if err != nil {
+				break
+			}
+			require.Greater(t, to, next, "a follower that is behind gets on")
+			require.Less(t, i, 200)
+			next = to
+		}
+	})
+}
+
+// TestDroppedIsLetGo: what was dropped is not held by the history's memory.
+func TestDroppedIsLetGo(t *testing.T) {
+	h := New(Limits{Revisions: 2, Bytes: 1 << 20}, 0)
+	for n := range uint64(100) {
+		h.Add(n+1, []Change{{Key: "k", Value: json.RawMessage("1")}})
+		for _, r := range h.list[:cap(h.list)][len(h.list):] {
+			require.Empty(t, r.Changes)
+		}
+	}
+	require.Len(t, h.list, 2)
+	require.LessOrEqual(t, cap(h.list), 8)
+}
--- /dev/null
+++ b/tests/watch_test.go
@@ -0,0 +1,205 @@
+package tests
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/store"
+	"oxbowbridge/internal/watch"
+)
+
+func (c *cluster) client() *store.Client {
+	var nodes []string
+	for _, p := range c.peers {
+		nodes = append(nodes, p["admin"].(string))
+	}
+	return store.NewClient(nodes)
+}
+
+// follower keeps what a watch has told.
+type follower struct {
+	mu   sync.Mutex
+	revs []watch.Revision
+	err  error
+}
+
+func follow(t *testing.T, c *store.Client, prefix string, from uint64) *follower {
+	f := &follower{}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		err := c.Watch(ctx, prefix, from, func(r watch.Revision) error {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.revs = append(f.revs, r)
+			return nil
+		})
+		f.mu.Lock()
+		f.err = err
+		f.mu.Unlock()
+	}()
+	return f
+}
+
+func (f *follower) told() []watch.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]watch.Revision(nil), f.revs...)
+}
+
+// until waits for a key to be told of.
+func (f *follower) until(t *testing.T, key string) {
+	await(t, "news of "+key, func() bool {
+		for _, r := range f.told() {
+			for _, k := range r.Changes {
+				if k.Key == key {
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
+
+// TestWatchThroughKills: while nodes are killed one after the other, followers that
+// began at the same revision are told of each write under their prefix once, in order
+// and with all of its transaction, wherever they go on.
+func TestWatchThroughKills(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	first, err := c.client().Put(t.Context(), "w/first", json.RawMessage("0"), nil)
+	require.NoError(t, err)
+	followers := []*follower{follow(t, c.client(), "w/", first.Revision), follow(t, c.client(), "w/", first.Revision)}
+	only := follow(t, c.client(), "other/", first.Revision)
+	writer := c.client()
+	want := map[uint64]string{first.Revision: "0"}
+	for i := range 150 {
+		if i%50 == 20 {
+			node := i / 50
+			c.kill(node)
+			go func() { // catches up meanwhile
+				time.Sleep(200 * time.Millisecond)
+				c.start(node)
+			}()
+		}
+		value := fmt.Sprint(i)
+		a, err := writer.Txn(t.Context(), kv.Request{Then: []kv.Op{
+			{Do: "put", Key: "w/a", Value: json.RawMessage(value)}, {Do: "put", Key: "other/x", Value: json.RawMessage("1")},
+			{Do: "put", Key: "w/b", Value: json.RawMessage(value)}}})
+		require.NoError(t, err)
+		want[a.Revision] = value
+	}
+	_, err = writer.Delete(t.Context(), "w/a", nil)
+	require.NoError(t, err)
+	_, err = writer.Put(t.Context(), "w/end", json.RawMessage("1"), nil)
+	require.NoError(t, err)
+	for _, f := range followers {
+		f.until(t, "w/end")
+		last, got := uint64(0), map[uint64]string{}
+		for _, r := range f.told() {
+			require.Greater(t, r.Number, last, "in order, once")
+			last = r.Number
+			switch len(r.Changes) {
+			case 1:
+				if r.Changes[0].Key == "w/first" {
+					got[r.Number] = string(r.Changes[0].Value)
+				} else if r.Changes[0].Key == "w/a" {
+					require.True(t, r.Changes[0].Gone)
+				}
+			case 2:
+				require.Equal(t, []string{"w/a", "w/b"}, []string{r.Changes[0].Key, r.Changes[1].Key})
+				require.Equal(t, r.Changes[0].Value, r.Changes[1].Value)
+				got[r.Number] = string(r.Changes[0].Value)
+			}
+		}
+		assert.Equal(t, want, got)
+	}
+	only.until(t, "other/x")
+	for _, r := range only.told() {
+		require.Len(t, r.Changes, 1)
+		require.True(t, strings.HasPrefix(r.Changes[0].Key, "other/"))
+	}
+}
+
+// TestWatchBounds: a watcher that does not read is cut off, one that reads is told of
+// all, a position that is gone is said to be, and there is an end to how many may watch.
+func TestWatchBounds(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	client := c.client()
+	first, err := client.Put(t.Context(), "w/first", json.RawMessage("0"), nil)
+	require.NoError(t, err)
+	addr := c.peers[0]["admin"].(string)
+	watchers := func(n int) func() bool {
+		return func() bool {
+			st, err := client.Status(t.Context(), addr)
+			return err == nil && st.Watchers == n
+		}
+	}
+	deaf, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer deaf.Close()
+	require.NoError(t, deaf.(*net.TCPConn).SetReadBuffer(4<<10))
+	fmt.Fprintf(deaf, "GET /watch?prefix=w/&from=%d HTTP/1.1\r\nHost: x\r\n\r\n", first.Revision)
+	await(t, "a watcher", watchers(1))
+	reads := follow(t, store.NewClient([]string{addr}), "w/", first.Revision)
+	await(t, "a second one", watchers(2))
+	big := json.RawMessage(`"` + strings.Repeat("x", 60<<10) + `"`)
+	for i := range 160 {
+		_, err := client.Put(t.Context(), fmt.Sprint("w/big", i%10), big, nil)
+		require.NoError(t, err)
+	}
+	_, err = client.Put(t.Context(), "w/end", json.RawMessage("1"), nil)
+	require.NoError(t, err)
+	reads.until(t, "w/end")
+	assert.Len(t, reads.told(), 162)
+	await(t, "the one that does not read to be cut off", watchers(1))
+
+	code, text := c.http(0, "GET", fmt.Sprint("/watch?from=", first.Revision), "")
+	assert.Equal(t, 410, code)
+	var gone struct {
+		Error  string
+		Oldest uint64
+	}
+	require.NoError(t, json.Unmarshal([]byte(text), &gone))
+	assert.Equal(t, "compacted", gone.Error)
+	assert.Greater(t, gone.Oldest, first.Revision)
+	var typed *watch.CompactedError
+	err = client.Watch(t.Context(), "", first.Revision, func(watch.Revision) error { return nil })
+	require.ErrorAs(t, err, &typed)
+	late := follow(t, client, "w/", typed.Oldest)
+	late.until(t, "w/end")
+	for _, query := range []string{"from=x", "from=-1", "prefix=" + strings.Repeat("p", 300)} {
+		code, _ := c.http(0, "GET", "/watch?"+query, "")
+		assert.Equal(t, 400, code, query)
+	}
+
+	for range 100 {
+		req, err := http.NewRequestWithContext(t.Context(), "GET", "http://"+addr+"/watch?prefix=quiet/", nil)
+		require.NoError(t, err)
+		res, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		defer res.Body.Close()
+		if res.StatusCode == 200 {
+			continue
+		}
+		assert.Equal(t, []any{503, "1"}, []any{res.StatusCode, res.Header.Get("Retry-After")})
+		assert.Equal(t, []int{204, 200}, []int{first204(c, 0), firstGet(c, 0)}, "others go on")
+		return
+	}
+	t.Fatal("100 may watch")
+}
+
+func first204(c *cluster, i int) int { code, _ := c.http(i, "PUT", "/store/w/still", "1"); return code }
+func firstGet(c *cluster, i int) int { code, _ := c.http(i, "GET", "/store/w/still", ""); return code }
