Store: cluster ids, checked backups, and a new cluster from one

Need: a store that lost a majority could not be brought back, and a node with the folder of an earlier cluster could have mixed with a new one.

Each cluster has an id, kept by each node and carried by all answers of the admin port; Raft's network calls no peer of another cluster. store backup writes one revision with a checksum (internal/backup); store restore puts it into an empty store of another cluster, behind a marker that shuts the state in the order of the log, through the loss of its leader.

--- a/cmd/oxbowbridge/store.go
+++ b/cmd/oxbowbridge/store.go
@@ -8,6 +8,7 @@
 	"maps"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -29,6 +30,7 @@
 	match  uint64
 	from   uint64
 	list   bool
+	undo   bool
 }
 
 func storeCommand() *cobra.Command {
@@ -54,6 +56,9 @@
 	for _, sub := range []*cobra.Command{put, del} {
 		sub.Flags().Uint64Var(&s.match, "if-revision", 0, "only if the key has this revision; 0 if it is not there")
 	}
+	add("backup FILE", "Write a checked backup of all keys, as they were at one moment, to a new file", cobra.ExactArgs(1), s.backup)
+	restore := add("restore FILE", "Put a backup back into an empty store of another cluster", cobra.MaximumNArgs(1), s.restore)
+	restore.Flags().BoolVar(&s.undo, "undo", false, "without FILE: empty a store in which a restore was cut off")
 	add("txn", "Carry out a transaction, once, given as JSON on standard input:\n"+
 		`{"if": [{"key": K, "revision": N}], "then": [{"do": "put", "key": K, "value": V}], "else": []}`, cobra.NoArgs, s.txn)
 	return c
@@ -80,7 +85,7 @@
 		Away string `json:"away,omitempty"`
 	}
 	var lines []line
-	rows := [][]any{{"ADDRESS", "NODE", "STATE", "LEADER", "APPLIED", "LAST", "ERROR"}}
+	rows := [][]any{{"ADDRESS", "NODE", "STATE", "LEADER", "APPLIED", "LAST", "CLUSTER", "ERROR"}}
 	up := 0
 	for _, addr := range s.nodes {
 		st, err := client.Status(c.Context(), addr)
@@ -91,7 +96,11 @@
 			up++
 		}
 		lines = append(lines, l)
-		rows = append(rows, []any{addr, st.Node, st.State, st.Leader, st.Applied, st.Last, l.Away + st.SQLError})
+		wrong := l.Away + st.SQLError
+		if st.Foreign != "" {
+			wrong = strings.TrimSpace(wrong + " of another cluster: " + st.Foreign)
+		}
+		rows = append(rows, []any{addr, st.Node, st.State, st.Leader, st.Applied, st.Last, st.Cluster, wrong})
 	}
 	err := error(nil)
 	if s.asJSON {
@@ -192,6 +201,60 @@
 	return err
 }
 
+func (s *storeCLI) backup(c *cobra.Command, client *store.Client, args []string) error {
+	head, text, err := client.Backup(c.Context())
+	if err != nil {
+		return err
+	}
+	if err := writeNew(args[0], text); err != nil {
+		return err
+	}
+	if s.asJSON {
+		return printJSON(c.OutOrStdout(), head)
+	}
+	return table(c.OutOrStdout(), []any{"CLUSTER", "REVISION", "KEYS", "BYTES", "SHA256"},
+		[]any{head.Cluster, head.Revision, head.Keys, head.Bytes, head.SHA256})
+}
+
+// writeNew writes a file that is there whole, on disk, or not at all.
+func writeNew(path string, text []byte) (err error) {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(text)
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return errors.Join(err, os.Remove(path))
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return err
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
+
+func (s *storeCLI) restore(c *cobra.Command, client *store.Client, args []string) error {
+	if s.undo != (len(args) == 0) {
+		return badCall(errors.New("want FILE, or --undo"))
+	}
+	if s.undo {
+		return client.UndoRestore(c.Context())
+	}
+	f, err := os.Open(args[0])
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	out, err := client.Restore(c.Context(), f)
+	if err != nil {
+		return err
+	}
+	if s.asJSON {
+		return printJSON(c.OutOrStdout(), out)
+	}
+	return table(c.OutOrStdout(), []any{"CLUSTER", "KEYS", "TAKEN FROM"}, []any{out.Cluster, out.Keys, out.From})
+}
+
 func (s *storeCLI) condition(c *cobra.Command) *uint64 {
 	if !c.Flags().Changed("if-revision") {
 		return nil
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 )
 
 // Limits of the state. What it holds is small.
@@ -24,6 +25,14 @@
 	leapMS      = 60 * 1000      // by which one request may advance the log's time
 )
 
+// Keys with a meaning of their own.
+const (
+	Reserved   = "_cluster/"          // prefix of what the store keeps about itself
+	ClusterKey = Reserved + "id"      // names the cluster, for as long as it lives
+	RestoreKey = Reserved + "restore" // there while a backup is written back, and says which
+	StatePart  = "state/"             // prefix of what services say of themselves; no backup puts it back
+)
+
 // Entry is a key. A deleted one stays, so that the store of record hears of it.
 type Entry struct {
 	Value   json.RawMessage `json:"value,omitempty"`   // left out, or null would come back as a value
@@ -81,6 +90,8 @@
 	// ErrNumber: a later request of the session was carried out, and the answer to this
 	// one, if there was one, is no longer kept. Nothing was done now.
 	ErrNumber = errors.New("request number is too old")
+	// ErrRestoring: nothing was done, as a backup is being written back.
+	ErrRestoring = errors.New("store is being restored from a backup")
 	// ErrRequest: the request breaks a limit.
 	ErrRequest = errors.New("bad request")
 )
@@ -223,7 +234,22 @@
 	return 0
 }
 
+// shut tells whether a request writes while a backup is written back, without being
+// part of that: those which are compare its marker.
+func (s *State) shut(r *Request) bool {
+	marker := s.Revision(RestoreKey)
+	if marker == 0 || slices.Contains(r.If, Compare{RestoreKey, marker}) {
+		return false
+	}
+	return slices.ContainsFunc(slices.Concat(r.Then, r.Else), func(o Op) bool {
+		return o.Do != "get" && !strings.HasPrefix(o.Key, StatePart) && !strings.HasPrefix(o.Key, Reserved)
+	})
+}
+
 func (s *State) txn(index uint64, r *Request, kept bool) (a Answer, changed []string, err error) {
+	if s.shut(r) {
+		return Answer{}, nil, ErrRestoring
+	}
 	a = Answer{Held: true, Revision: index}
 	for _, c := range r.If {
 		a.Held = a.Held && s.Revision(c.Key) == c.Revision
--- a/internal/store/admin.go
+++ b/internal/store/admin.go
@@ -10,10 +10,14 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/raft"
 	"go.uber.org/zap"
+
+	"oxbowbridge/internal/kv"
 )
 
 var errNoLeader = errors.New("no leader is known")
@@ -28,22 +32,26 @@
 	Mirrored uint64 `json:"mirrored"`        // the index up to which the store of record has all
 	SQLError string `json:"error,omitempty"` // why it hasn't more
 	Watchers int    `json:"watchers"`
+	Cluster  string `json:"cluster,omitempty"` // its id, once it is known
+	Foreign  string `json:"foreign,omitempty"` // addresses of peers that are of another cluster
 }
 
 // admin is the operators' HTTP port, on a loopback address: GET /status,
-// GET /store, GET, PUT and DELETE /store/KEY, GET /watch, POST /txn and POST
-// /session. Nodes pass writes to their
+// GET /store, GET, PUT and DELETE /store/KEY, GET /watch, GET /backup, and
+// POST /txn, /session and /restore. Nodes pass writes to their
 // leader by it, and ask it how far the log is committed (GET /index).
 type admin struct {
 	store  *Store
 	server *http.Server
 	client *http.Client
 
-	watchers chan struct{} // one for each that follows
+	patient   *http.Client  // for what takes longer
+	watchers  chan struct{} // one for each that follows
+	restoring sync.Mutex
 }
 
 func serveAdmin(s *Store) (*admin, error) {
-	a := &admin{store: s, client: &http.Client{Timeout: applyTimeout + time.Second}, watchers: make(chan struct{}, watchersMost)}
+	a := &admin{store: s, client: &http.Client{Timeout: applyTimeout + time.Second}, patient: &http.Client{Timeout: restoreTime}, watchers: make(chan struct{}, watchersMost)}
 	ln, err := net.Listen("tcp", s.self.Admin)
 	if err != nil {
 		return nil, fmt.Errorf("admin address: %w", err)
@@ -58,7 +66,9 @@
 		entries, revision := s.state.all()
 		all := map[string]json.RawMessage{}
 		for key, e := range entries {
-			all[key] = e.Value
+			if !strings.HasPrefix(key, kv.Reserved) {
+				all[key] = e.Value
+			}
 		}
 		w.Header().Set(headRevision, strconv.FormatUint(revision, 10))
 		answer(w, all)
@@ -69,7 +79,10 @@
 	mux.HandleFunc("GET /watch", a.watch)
 	mux.HandleFunc("POST /session", a.session)
 	mux.HandleFunc("POST /txn", a.txn)
-	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ReadTimeout: 5 * time.Second,
+	mux.HandleFunc("GET /backup", a.backup)
+	mux.HandleFunc("POST /restore", a.restore)
+	mux.HandleFunc("DELETE /restore", a.restore)
+	a.server = &http.Server{Handler: a.sameCluster(mux), ReadHeaderTimeout: time.Second, ReadTimeout: 5 * time.Second,
 		ErrorLog: zap.NewStdLog(s.log)}
 	go a.server.Serve(ln)
 	return a, nil
@@ -88,7 +101,7 @@
 	if p, ok := s.leader(); ok {
 		st.Leader = p.Name
 	}
-	st.Watchers = len(a.watchers)
+	st.Watchers, st.Cluster, st.Foreign = len(a.watchers), s.cluster.id(), s.cluster.foreign()
 	if s.mirror != nil {
 		st.Mirrored, st.SQLError = s.mirror.progress()
 	}
@@ -127,6 +140,10 @@
 		unavailable(w, err)
 		return false
 	}
+	if _, restoring := a.store.state.get(kv.RestoreKey); restoring && !f.Local {
+		unavailable(w, kv.ErrRestoring)
+		return false
+	}
 	if f.Stale > 0 {
 		w.Header().Set("Age-Ms", strconv.FormatInt(age.Milliseconds(), 10))
 	}
@@ -164,6 +181,10 @@
 		}
 		value = text
 	}
+	if err := notReserved(r.PathValue("key")); err != nil {
+		fail(w, err)
+		return
+	}
 	if conditional(r) {
 		a.putIf(w, r, value)
 		return
@@ -182,18 +203,21 @@
 }
 
 // send sends a request to the leader, if that is another node.
-func (a *admin) send(ctx context.Context, method, path string, body []byte, fields http.Header) (*http.Response, error) {
+func (a *admin) send(ctx context.Context, method, path string, body io.Reader, fields http.Header, by *http.Client) (*http.Response, error) {
 	p, ok := a.store.leader()
 	if !ok || p.Name == a.store.self.Name {
 		return nil, errNoLeader
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.Admin+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.Admin+path, body)
 	if err != nil {
 		return nil, fmt.Errorf("ask leader: %w", err)
 	}
+	if id := a.store.cluster.id(); id != "" {
+		req.Header.Set(headCluster, id)
+	}
 	copyFields(req.Header, fields, "If-Match", "If-None-Match", headSession, headNumber)
 	req.Header.Set("Forwarded", "by="+a.store.self.Name)
-	res, err := a.client.Do(req)
+	res, err := by.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("ask leader: %w", err)
 	}
@@ -210,7 +234,7 @@
 
 // ask reads the leader's good answer to a request.
 func (a *admin) ask(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	res, err := a.send(ctx, method, path, body, nil)
+	res, err := a.send(ctx, method, path, bytes.NewReader(body), nil, a.client)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"oxbowbridge/internal/backup"
 	"oxbowbridge/internal/kv"
 )
 
@@ -23,6 +24,7 @@
 	Budget  Budget
 	Session uint64 // opened by the first write
 	number  uint64
+	cluster string // that answered first: no other is asked for more
 }
 
 // Budget bounds repeated attempts: how many follow the first, and the pause before
@@ -56,6 +58,8 @@
 
 func (e *StatusError) Error() string { return fmt.Sprintf("%s (%d)", e.Text, e.Code) }
 
+const answerMost = backup.Most + 1<<20
+
 var errNoNode = errors.New("no node is known")
 
 // ErrNoKey means that a key is not there.
@@ -86,12 +90,16 @@
 		if err != nil {
 			return nil, nil, err
 		}
+		c.ofCluster(req)
 		res, err := c.HTTP.Do(req)
 		if err != nil {
 			last = err
 			continue
 		}
-		text, err := io.ReadAll(io.LimitReader(res.Body, 64<<20))
+		if c.cluster == "" {
+			c.cluster = res.Header.Get(headCluster)
+		}
+		text, err := io.ReadAll(io.LimitReader(res.Body, answerMost))
 		res.Body.Close()
 		if err == nil && res.StatusCode != http.StatusServiceUnavailable {
 			return res, text, nil
@@ -103,6 +111,13 @@
 	return nil, nil, fmt.Errorf("no node answered in %d attempts: %w", c.Budget.Attempts+1, last)
 }
 
+// ofCluster has a node of another cluster refuse a request.
+func (c *Client) ofCluster(req *http.Request) {
+	if c.cluster != "" {
+		req.Header.Set(headCluster, c.cluster)
+	}
+}
+
 func (c *Client) ask(ctx context.Context, method, path string, body []byte, to any) error {
 	res, text, err := c.do(ctx, method, path, body)
 	if err != nil {
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -5,6 +5,7 @@
 	"database/sql"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,6 +13,8 @@
 	_ "github.com/jackc/pgx/v5/stdlib" // driver "pgx"
 	"go.uber.org/zap"
 	_ "modernc.org/sqlite" // driver "sqlite"
+
+	"oxbowbridge/internal/kv"
 )
 
 const (
@@ -176,7 +179,7 @@
 			return fmt.Errorf("read row: %w", err)
 		}
 		earlier = earlier || uint64(index) > last
-		if _, ok := known[key]; !ok && value.Valid {
+		if _, ok := known[key]; !ok && value.Valid && !strings.HasPrefix(key, kv.Reserved) {
 			missing = append(missing, command{Key: key, Value: json.RawMessage(value.String)})
 		}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -104,6 +104,7 @@
 	barred  atomic.Uint64 // the term in which this node, as leader, has committed an entry
 	knownMu sync.Mutex
 	knownAt time.Time
+	cluster identity
 }
 
 // Open starts a node. It finds the others by itself, and what it missed.
@@ -140,10 +141,15 @@
 	if report.Loss == durable.TailLoss {
 		s.log.Info("unsynced tail of the log cut off", zap.Int64("bytes", report.CutBytes))
 	}
-	transport, err := raft.NewTCPTransportWithLogger(s.self.Raft, nil, transportConns, transportTime, rc.Logger)
+	if err := s.readIdentity(); err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", s.self.Raft)
 	if err != nil {
 		return fmt.Errorf("raft address: %w", err)
 	}
+	transport := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: &peerStream{ln, s},
+		MaxPool: transportConns, Timeout: transportTime, Logger: rc.Logger})
 	s.close = append(s.close, func() { transport.Close() })
 	had, err := raft.HasExistingState(disk, disk, disk)
 	if err != nil {
@@ -165,7 +171,7 @@
 	if s.admin, err = serveAdmin(s); err != nil {
 		return err
 	}
-	s.close = append(s.close, s.admin.close)
+	s.close = append(s.close, s.admin.close, s.keepIdentity())
 	if s.cfg.SQL.Driver != "" {
 		s.mirror = startMirror(s)
 		s.close = append(s.close, s.mirror.close)
--- a/internal/store/txn.go
+++ b/internal/store/txn.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -136,11 +137,25 @@
 		fail(w, fmt.Errorf("%w: sessions are opened with POST /session", kv.ErrRequest))
 		return
 	}
+	for _, o := range slices.Concat(q.Then, q.Else) {
+		if err := notReserved(o.Key); o.Do != "get" && err != nil {
+			fail(w, err)
+			return
+		}
+	}
 	if !a.passOn(w, r, text) {
 		a.do(w, q)
 	}
 }
 
+// notReserved refuses keys that only the store itself writes.
+func notReserved(key string) error {
+	if strings.HasPrefix(key, kv.Reserved) {
+		return fmt.Errorf("%w: keys under %s are the store's own", kv.ErrRequest, kv.Reserved)
+	}
+	return nil
+}
+
 func (a *admin) do(w http.ResponseWriter, q kv.Request) {
 	got, err := a.store.Do(q)
 	if err != nil {
@@ -159,7 +174,12 @@
 		unavailable(w, errNoLeader)
 		return true
 	}
-	res, err := a.send(r.Context(), r.Method, r.URL.EscapedPath(), body, r.Header)
+	return a.relay(w, r, bytes.NewReader(body), a.client)
+}
+
+// relay has the leader answer to what a reader gives.
+func (a *admin) relay(w http.ResponseWriter, r *http.Request, body io.Reader, by *http.Client) bool {
+	res, err := a.send(r.Context(), r.Method, r.URL.EscapedPath(), body, r.Header, by)
 	if err != nil {
 		unavailable(w, err)
 		return true
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -255,6 +255,7 @@
 	if err != nil {
 		return false, &stopError{err}
 	}
+	c.ofCluster(req)
 	res, err := (&http.Client{Transport: c.HTTP.Transport}).Do(req) // without a limit on the whole
 	if err != nil {
 		return false, err
--- /dev/null
+++ b/tests/backup_test.go
@@ -0,0 +1,221 @@
+package tests
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oxbowbridge/internal/backup"
+	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/store"
+)
+
+// pair is a transaction that writes two keys alike.
+func pair(i int) kv.Request {
+	v := json.RawMessage(fmt.Sprint(i))
+	return kv.Request{Then: []kv.Op{{Do: "put", Key: "pair/a", Value: v}, {Do: "put", Key: "pair/b", Value: v}}}
+}
+
+// TestBackup: a backup that is taken at a follower under writes holds one moment of
+// the store; it makes a new cluster, and nothing else takes it.
+func TestBackup(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	client := c.client()
+	for i := range 40 {
+		_, err := client.Put(t.Context(), fmt.Sprint("config/k", i), json.RawMessage(fmt.Sprintf(`{"n":%d}`, i)), nil)
+		require.NoError(t, err)
+	}
+	_, err := client.Delete(t.Context(), "config/k7", nil)
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for w, i := c.client(), 0; ctx.Err() == nil; i++ {
+			w.Txn(ctx, pair(i))
+		}
+	})
+	lead := c.leader()
+	follower := store.NewClient([]string{c.peers[(lead+1)%3]["admin"].(string)})
+	await(t, "both keys", func() bool { _, _, err := follower.Get(t.Context(), "pair/b", ""); return err == nil })
+	var text []byte
+	var head backup.Head
+	for range 20 {
+		head, text, err = follower.Backup(t.Context())
+		require.NoError(t, err)
+		_, keys, err := backup.Read(bytes.NewReader(text))
+		require.NoError(t, err)
+		got := map[string]string{}
+		for _, k := range keys {
+			got[k.Key] = string(k.Value)
+			require.LessOrEqual(t, k.Revision, head.Revision)
+		}
+		require.Equal(t, got["pair/a"], got["pair/b"], "half of a transaction")
+		require.NotContains(t, got, "config/k7")
+		require.Equal(t, `{"n":39}`, got["config/k39"])
+	}
+	stop()
+	wg.Wait()
+	path := filepath.Join(t.TempDir(), "backup")
+	nodes := "--nodes=" + strings.Join(client.Nodes, ",")
+	out, code := sub(t, "", "store", "backup", path, nodes)
+	require.Equal(t, 0, code, out)
+	require.Contains(t, out, head.Cluster)
+	_, code = sub(t, "", "store", "backup", path, nodes)
+	require.Equal(t, 1, code, "a file that is there is not written over")
+	out, code = sub(t, "", "store", "restore", path, nodes)
+	require.Equal(t, 1, code, out)
+	require.Contains(t, out, "taken from")
+
+	text, err = os.ReadFile(path)
+	require.NoError(t, err)
+	n := newCluster(t, nil)
+	fresh := "--nodes=" + n.peers[(n.leader()+1)%3]["admin"].(string) // not the leader
+	bad := filepath.Join(t.TempDir(), "bad")
+	require.NoError(t, os.WriteFile(bad, bytes.Replace(text, []byte(`"n":39`), []byte(`"n":38`), 1), 0o600))
+	out, code = sub(t, "", "store", "restore", bad, fresh)
+	require.Equal(t, 1, code, out)
+	require.Contains(t, out, "damaged")
+	status, _ := n.http(0, "POST", "/restore", string(text[:len(text)-3]))
+	require.Equal(t, 400, status)
+	for range 2 { // the second time as if the answer had been lost
+		out, code = sub(t, "", "store", "restore", path, fresh)
+		require.Equal(t, 0, code, out)
+	}
+	for i := range 3 {
+		n.has(i, "config/k39", `{"n":39}`)
+		status, _ := n.http(i, "GET", "/store/config/k7", "")
+		require.Equal(t, 404, status)
+	}
+	other := filepath.Join(t.TempDir(), "other")
+	_, code = sub(t, "", "store", "backup", other, fresh)
+	require.Equal(t, 0, code)
+	_, code = sub(t, "", "store", "put", "note/later", "1", nodes)
+	require.Equal(t, 0, code)
+	again, _, err := client.Backup(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, head.Cluster, again.Cluster)
+	require.NoError(t, os.Remove(path))
+	_, code = sub(t, "", "store", "backup", path, nodes)
+	require.Equal(t, 0, code)
+	out, code = sub(t, "", "store", "restore", path, fresh)
+	require.Equal(t, 1, code, out)
+	require.Contains(t, out, "empty")
+	require.Equal(t, 204, func() int { code, _ := n.http(1, "PUT", "/store/note/on", "1"); return code }(), "it goes on after a refusal")
+	status, body := n.http(0, "PUT", "/store/_cluster/id", `"x"`)
+	require.Equal(t, 400, status, body)
+}
+
+// TestRestoreCutOff: while a backup is put back nothing is read or written, through
+// the loss of the leader too; asked for again, it goes on, or it is undone.
+func TestRestoreCutOff(t *testing.T) {
+	t.Parallel()
+	var keys []backup.Key
+	value := json.RawMessage(`"` + strings.Repeat("x", 32<<10) + `"`)
+	for i := range 800 {
+		keys = append(keys, backup.Key{Key: fmt.Sprintf("big/%03d", i), Revision: uint64(i + 1), Value: value})
+	}
+	var text bytes.Buffer
+	_, err := backup.Write(&text, backup.Head{Cluster: "another", Revision: 800}, keys)
+	require.NoError(t, err)
+	c := newCluster(t, nil)
+	await(t, "the cluster's id", func() bool {
+		st, err := c.client().Status(t.Context(), c.client().Nodes[0])
+		return err == nil && st.Cluster != ""
+	})
+	begin := func(i int) {
+		go c.http(i, "POST", "/restore", text.String())
+		await(t, "a part of it", func() bool {
+			code, _ := c.http(i, "GET", "/store/big/010?local=1", "")
+			return code == 200
+		})
+	}
+	lead := c.leader()
+	begin(lead)
+	c.kill(lead)
+	others := store.NewClient([]string{c.peers[(lead+1)%3]["admin"].(string), c.peers[(lead+2)%3]["admin"].(string)})
+	c.leader()
+	code, body := c.http(c.leader(), "GET", "/store/_cluster/restore?local=1", "")
+	require.Equal(t, 200, code, "it was cut off: %s", body)
+	for _, i := range []int{(lead + 1) % 3, (lead + 2) % 3} {
+		code, body := c.http(i, "GET", "/store/big/000", "")
+		assert.Equal(t, 503, code, body)
+		code, body = c.http(i, "PUT", "/store/note/x", "1")
+		assert.Equal(t, 503, code, body)
+	}
+	require.NoError(t, others.UndoRestore(t.Context()))
+	all, _, err := others.List(t.Context(), "")
+	require.NoError(t, err)
+	for key := range all {
+		require.True(t, strings.HasPrefix(key, "state/"), key)
+	}
+	out, err := others.Restore(t.Context(), bytes.NewReader(text.Bytes()))
+	require.NoError(t, err)
+	require.Equal(t, 800, out.Keys)
+	all, _, err = others.List(t.Context(), "")
+	require.NoError(t, err)
+	for _, k := range keys {
+		require.Equal(t, string(k.Value), string(all[k.Key]), k.Key)
+	}
+}
+
+// TestOldFolder: a node whose folder is of an earlier cluster is kept out by those of
+// the new one. It serves nothing as fresh, and changes nothing there.
+func TestOldFolder(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	c.put(0, "note/old", `1`)
+	c.has(2, "note/old", `1`)
+	await(t, "the cluster's id", func() bool { return strings.Contains(c.nodes[2].log(), `"msg":"cluster id"`) })
+	for i := range 3 {
+		c.kill(i)
+	}
+	old := c.dirs[2]
+	for i := range 2 {
+		c.dirs[i] = t.TempDir()
+		c.start(i)
+	}
+	lead := c.leader()
+	c.put(lead, "note/new", `2`)
+	c.start(2)
+	require.Equal(t, old, c.dirs[2])
+	await(t, "a line", func() bool {
+		return strings.Contains(c.nodes[2].log(), "peer is of another cluster") || strings.Contains(c.nodes[lead].log(), "peer is of another cluster")
+	})
+	c.put(lead, "note/more", `3`)
+	time.Sleep(2 * time.Second) // four elections' worth
+	code, body := c.http(2, "GET", "/store/note/old", "")
+	assert.Equal(t, 503, code, body)
+	for i := range 2 {
+		c.has(i, "note/more", `3`)
+		code, body = c.http(i, "GET", "/store/note/old", "")
+		assert.Equal(t, 404, code, body)
+	}
+	client := c.client()
+	client.Nodes = client.Nodes[:1]
+	_, _, err := client.Get(t.Context(), "note/new", "")
+	require.NoError(t, err)
+	client.Nodes = c.client().Nodes[2:]
+	_, err = client.Put(t.Context(), "note/x", json.RawMessage("1"), nil)
+	require.ErrorContains(t, err, "of cluster")
+	c.kill(2) // emptied, it is taken in
+	c.dirs[2] = t.TempDir()
+	c.start(2)
+	c.has(2, "note/more", `3`)
+}
+
+// sub runs a sub-command, and gives both its outputs as one.
+func sub(t *testing.T, in string, args ...string) (string, int) {
+	out, errs, code := cli(t, in, args...)
+	return out + errs, code
+}
