--- a/tests/watch_test.go
+++ b/tests/watch_test.go
@@ -1,13 +1,16 @@
 package tests
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"os/exec"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -203,3 +206,48 @@
 
 func first204(c *cluster, i int) int { code, _ := c.http(i, "PUT", "/store/w/still", "1"); return code }
 func firstGet(c *cluster, i int) int { code, _ := c.http(i, "GET", "/store/w/still", ""); return code }
+
+// TestWatchCommand: the command line lists, follows, and ends well when interrupted.
+func TestWatchCommand(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	client := c.client()
+	_, err := client.Put(t.Context(), "w/first", json.RawMessage("1"), nil)
+	require.NoError(t, err)
+	var out safeBuffer
+	cmd := exec.Command(program, "store", "watch", "w/", "--list", "--nodes="+strings.Join(client.Nodes, ","))
+	cmd.Stdout, cmd.Stderr = &out, &out
+	require.NoError(t, cmd.Start())
+	t.Cleanup(func() { cmd.Process.Kill() })
+	says := func(what string) {
+		await(t, "the line "+what, func() bool { return strings.Contains(out.text(), what) })
+	}
+	says("w/first\t1\n")
+	_, err = client.Put(t.Context(), "w/second", json.RawMessage(`{"x":2}`), nil)
+	require.NoError(t, err)
+	says("w/second\t{\"x\":2}\n")
+	_, err = client.Delete(t.Context(), "w/first", nil)
+	require.NoError(t, err)
+	says("w/first\t(deleted)\n")
+	require.NoError(t, cmd.Process.Signal(syscall.SIGINT))
+	require.NoError(t, cmd.Wait())
+	_, code := sub(t, "", "store", "watch", "--list", "--from", "3")
+	assert.Equal(t, 2, code)
+}
+
+type safeBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *safeBuffer) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(b)
+}
+
+func (s *safeBuffer) text() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
