Store and tests: one way to pass on, one status error, one seed, one log buffer

A restore asked for the leader in a copy of passOn, which now takes a reader and a client; eight places made the same StatusError; four looked for keys that are neither the store's nor a service's (kv.Users); a watch from now copied all keys to learn a revision that progress knows. Gone: an error value nobody asks for, History.At, and the network of Dial, which was TCP at every call since reports left it. Behaviour and assertions stay as they were.

--- a/internal/ajp/upstream.go
+++ b/internal/ajp/upstream.go
@@ -120,7 +120,7 @@
 	if r != nil {
 		r.conn = c
 	}
-	u.Dial("tcp", addr, c, func(sock *socket.Conn, err error) { c.opened(addr, sock, err) })
+	u.Dial(addr, c, func(sock *socket.Conn, err error) { c.opened(addr, sock, err) })
 }
 
 func (c *upConn) opened(addr string, sock *socket.Conn, err error) {
--- a/internal/durable/crash_test.go
+++ b/internal/durable/crash_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"oxbowbridge/internal/durable/faultfs"
+	"oxbowbridge/internal/rapidseed"
 )
 
 var full = flag.Bool("full", false, "run the long form of the sweeps")
@@ -22,8 +23,8 @@
 // TestMain has the short form try the same histories each time.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); !*full && seed.Value.String() == seed.DefValue {
-		flag.Set("rapid.seed", "20261201")
+	if !*full {
+		rapidseed.Fix()
 	}
 	os.Exit(m.Run())
 }
--- a/internal/durable/plan/plan_test.go
+++ b/internal/durable/plan/plan_test.go
@@ -9,14 +9,14 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"oxbowbridge/internal/rapidseed"
 )
 
 // TestMain has rapid try the same facts each time, unless a seed is given.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
-		flag.Set("rapid.seed", "20261201")
-	}
+	rapidseed.Fix()
 	os.Exit(m.Run())
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -62,7 +62,7 @@
 	l.Due.Cancel(l.again)
 	l.dialed++
 	n := l.dialed
-	l.Dial("tcp", l.addr, &link.Lines{Env: l.Env, Parser: lines.Parser{Long: long}, Read: l.read,
+	l.Dial(l.addr, &link.Lines{Env: l.Env, Parser: lines.Parser{Long: long}, Read: l.read,
 		Lost: func(err error) { l.lost(n, err) },
 		Live: func() bool { return n == l.present || n == l.dialed }},
 		func(c *socket.Conn, err error) { l.opened(n, c, err) })
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -33,6 +33,11 @@
 	StatePart  = "state/"             // prefix of what services say of themselves; no backup puts it back
 )
 
+// Users tells whether a key is neither the store's own nor what a service says of itself.
+func Users(key string) bool {
+	return !strings.HasPrefix(key, Reserved) && !strings.HasPrefix(key, StatePart)
+}
+
 // Entry is a key. A deleted one stays, so that the store of record hears of it.
 type Entry struct {
 	Value   json.RawMessage `json:"value,omitempty"`   // left out, or null would come back as a value
@@ -242,7 +247,7 @@
 		return false
 	}
 	return slices.ContainsFunc(slices.Concat(r.Then, r.Else), func(o Op) bool {
-		return o.Do != "get" && !strings.HasPrefix(o.Key, StatePart) && !strings.HasPrefix(o.Key, Reserved)
+		return o.Do != "get" && Users(o.Key)
 	})
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -25,8 +25,8 @@
 }
 
 // Dial connects and has opened called in the core's goroutine.
-func (e Env) Dial(network, addr string, h socket.Handler, opened func(*socket.Conn, error)) {
-	e.Loop.Dial(network, addr, dialTimeout, func(*socket.Conn) socket.Handler { return h }, func(c *socket.Conn, err error) {
+func (e Env) Dial(addr string, h socket.Handler, opened func(*socket.Conn, error)) {
+	e.Loop.Dial(addr, dialTimeout, func(*socket.Conn) socket.Handler { return h }, func(c *socket.Conn, err error) {
 		e.Exchange.Post(exchange.Step(func() { opened(c, err) }))
 	})
 }
--- /dev/null
+++ b/internal/rapidseed/rapidseed.go
@@ -0,0 +1,12 @@
+// Package rapidseed makes property tests give the same verdict every time.
+package rapidseed
+
+import "flag"
+
+// Fix has rapid try the same cases each time, unless a seed is given. It is for
+// TestMain of a package that uses rapid, once the flags are parsed.
+func Fix() {
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
+		flag.Set("rapid.seed", "20261201")
+	}
+}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -139,7 +139,7 @@
 	l.open++
 	c := &conn{link: l, addr: l.addr, call: k}
 	k.conn = c
-	l.Dial("tcp", c.addr, &link.Lines{Env: l.Env, Parser: lines.Parser{Long: long}, Read: c.read, Lost: c.lost,
+	l.Dial(c.addr, &link.Lines{Env: l.Env, Parser: lines.Parser{Long: long}, Read: c.read, Lost: c.lost,
 		Live: func() bool { return !c.gone }}, c.opened)
 }
 
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -199,9 +199,9 @@
 }
 
 // Dial connects in the background and reports to done.
-func (l *Loop) Dial(network, addr string, timeout time.Duration, handle func(*Conn) Handler, done func(*Conn, error)) {
+func (l *Loop) Dial(addr string, timeout time.Duration, handle func(*Conn) Handler, done func(*Conn, error)) {
 	go func() {
-		raw, err := net.DialTimeout(network, addr, timeout)
+		raw, err := net.DialTimeout("tcp", addr, timeout)
 		if err != nil {
 			done(nil, err)
 			return
--- a/internal/store/backup.go
+++ b/internal/store/backup.go
@@ -12,8 +12,6 @@
 	"strings"
 	"time"
 
-	"github.com/hashicorp/raft"
-
 	"oxbowbridge/internal/backup"
 	"oxbowbridge/internal/kv"
 )
@@ -69,12 +67,7 @@
 func (a *admin) restore(w http.ResponseWriter, r *http.Request) {
 	http.NewResponseController(w).SetReadDeadline(time.Now().Add(restoreTime))
 	body := http.MaxBytesReader(w, r.Body, backup.Most+1<<10)
-	if a.store.raft.State() != raft.Leader {
-		if r.Header.Get("Forwarded") != "" {
-			unavailable(w, errNoLeader)
-			return
-		}
-		a.relay(w, r, body, a.patient)
+	if a.passOn(w, r, body, a.patient) {
 		return
 	}
 	if !a.restoring.TryLock() {
@@ -142,7 +135,7 @@
 		return errors.Join(err, ctx.Err())
 	}
 	for _, k := range keys {
-		if strings.HasPrefix(k.Key, kv.StatePart) || strings.HasPrefix(k.Key, kv.Reserved) {
+		if !kv.Users(k.Key) {
 			continue // what the old services said of themselves
 		}
 		part.Then = append(part.Then, kv.Op{Do: "put", Key: k.Key, Value: k.Value})
@@ -172,7 +165,7 @@
 	part := kv.Request{If: []kv.Compare{{Key: kv.RestoreKey, Revision: marker.Index}}}
 	for key := range entries {
 		// A marker of its first version was put before anybody looked what there was.
-		if marker.Version > 1 && !strings.HasPrefix(key, kv.StatePart) && !strings.HasPrefix(key, kv.Reserved) {
+		if marker.Version > 1 && kv.Users(key) {
 			part.Then = append(part.Then, kv.Op{Do: "delete", Key: key})
 		}
 		if len(part.Then) == restoreOps {
@@ -209,7 +202,7 @@
 	}
 	used := 0
 	for key := range entries {
-		if !strings.HasPrefix(key, kv.StatePart) && !strings.HasPrefix(key, kv.Reserved) {
+		if kv.Users(key) {
 			used++
 		}
 	}
@@ -237,7 +230,7 @@
 		return backup.Head{}, nil, err
 	}
 	if res.StatusCode != http.StatusOK {
-		return backup.Head{}, nil, &StatusError{res.StatusCode, string(bytes.TrimSpace(text))}
+		return backup.Head{}, nil, statusError(res.StatusCode, text)
 	}
 	head, _, err := backup.Read(bytes.NewReader(text))
 	return head, text, err
@@ -264,7 +257,7 @@
 func (c *Client) UndoRestore(ctx context.Context) error {
 	res, text, err := c.do(ctx, http.MethodDelete, "/restore", nil)
 	if err == nil && res.StatusCode >= 300 {
-		err = &StatusError{res.StatusCode, string(bytes.TrimSpace(text))}
+		err = statusError(res.StatusCode, text)
 	}
 	return err
 }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -65,6 +65,10 @@
 // ErrNoKey means that a key is not there.
 var ErrNoKey = errors.New("no such key")
 
+func statusError(code int, text []byte) error {
+	return &StatusError{code, string(bytes.TrimSpace(text))}
+}
+
 // NewClient makes one for some nodes.
 func NewClient(nodes []string) *Client {
 	return &Client{Nodes: nodes, HTTP: &http.Client{Timeout: 2 * applyTimeout}, Budget: defaultBudget()}
@@ -105,7 +109,7 @@
 			return res, text, nil
 		}
 		if last = err; err == nil {
-			last = &StatusError{res.StatusCode, string(bytes.TrimSpace(text))}
+			last = statusError(res.StatusCode, text)
 		}
 	}
 	return nil, nil, fmt.Errorf("no node answered in %d attempts: %w", c.Budget.Attempts+1, last)
@@ -124,7 +128,7 @@
 		return err
 	}
 	if res.StatusCode >= 300 {
-		return &StatusError{res.StatusCode, string(bytes.TrimSpace(text))}
+		return statusError(res.StatusCode, text)
 	}
 	if err := json.Unmarshal(text, to); err != nil {
 		return fmt.Errorf("answer can't be read: %w", err)
@@ -141,7 +145,7 @@
 	case res.StatusCode == http.StatusNotFound:
 		return nil, 0, fmt.Errorf("%w: %s", ErrNoKey, key)
 	case res.StatusCode != http.StatusOK:
-		return nil, 0, &StatusError{res.StatusCode, string(bytes.TrimSpace(text))}
+		return nil, 0, statusError(res.StatusCode, text)
 	}
 	revision, err = parseTag(res.Header.Get("ETag"))
 	return bytes.TrimSpace(text), revision, err
@@ -155,7 +159,7 @@
 	case err != nil:
 		return nil, 0, err
 	case res.StatusCode != http.StatusOK:
-		return nil, 0, &StatusError{res.StatusCode, string(bytes.TrimSpace(text))}
+		return nil, 0, statusError(res.StatusCode, text)
 	}
 	if err := json.Unmarshal(text, &all); err != nil {
 		return nil, 0, fmt.Errorf("answer can't be read: %w", err)
--- a/internal/store/cluster.go
+++ b/internal/store/cluster.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -28,8 +27,6 @@
 	peerTrust    = 5 * time.Second        // for which its word counts
 )
 
-var errForeign = errors.New("is of another cluster")
-
 // identity is which cluster this node is of, and what its peers said of theirs. A new
 // node knows none until it has the key from the others, and is of that one for good.
 type identity struct {
@@ -163,7 +160,7 @@
 			s.log.Error("peer is of another cluster", zap.String("peer", s.cfg.Peers[i].Name), zap.String("cluster", theirs), zap.String("own", own))
 		}
 		s.cluster.others[addr] = theirs
-		return fmt.Errorf("%s %w: %s", addr, errForeign, theirs)
+		return fmt.Errorf("%s is of another cluster: %s", addr, theirs)
 	}
 	delete(s.cluster.others, addr)
 	if own != "" {
--- a/internal/store/txn.go
+++ b/internal/store/txn.go
@@ -95,7 +95,7 @@
 		fail(w, err)
 		return
 	}
-	if a.passOn(w, r, value) {
+	if a.passOn(w, r, bytes.NewReader(value), a.client) {
 		return
 	}
 	got, err := a.store.Do(q)
@@ -114,7 +114,7 @@
 
 // session opens one.
 func (a *admin) session(w http.ResponseWriter, r *http.Request) {
-	if !a.passOn(w, r, nil) {
+	if !a.passOn(w, r, http.NoBody, a.client) {
 		a.do(w, kv.Request{Open: true})
 	}
 }
@@ -143,7 +143,7 @@
 			return
 		}
 	}
-	if !a.passOn(w, r, text) {
+	if !a.passOn(w, r, bytes.NewReader(text), a.client) {
 		a.do(w, q)
 	}
 }
@@ -166,7 +166,7 @@
 }
 
 // passOn has the leader answer, if that is another node.
-func (a *admin) passOn(w http.ResponseWriter, r *http.Request, body []byte) bool {
+func (a *admin) passOn(w http.ResponseWriter, r *http.Request, body io.Reader, by *http.Client) bool {
 	if a.store.raft.State() == raft.Leader {
 		return false
 	}
@@ -174,11 +174,6 @@
 		unavailable(w, errNoLeader)
 		return true
 	}
-	return a.relay(w, r, bytes.NewReader(body), a.client)
-}
-
-// relay has the leader answer to what a reader gives.
-func (a *admin) relay(w http.ResponseWriter, r *http.Request, body io.Reader, by *http.Client) bool {
 	res, err := a.send(r.Context(), r.Method, r.URL.EscapedPath(), body, r.Header, by)
 	if err != nil {
 		unavailable(w, err)
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -63,7 +63,7 @@
 		if !a.fresh(w, r) { // now is after all that was acknowledged
 			return
 		}
-		_, at := a.store.state.all()
+		at, _ := a.store.state.progress()
 		from = at + 1
 	}
 	s := &stream{w: w, out: http.NewResponseController(w)}
@@ -294,9 +294,9 @@
 	case code == http.StatusGone && json.Unmarshal(text, &gone) == nil && gone.Error == "compacted":
 		return &stopError{&watch.CompactedError{Oldest: gone.Oldest}}
 	case code == http.StatusServiceUnavailable:
-		return &StatusError{code, string(bytes.TrimSpace(text))}
+		return statusError(code, text)
 	}
-	return &stopError{&StatusError{code, string(bytes.TrimSpace(text))}}
+	return &stopError{statusError(code, text)}
 }
 
 // alive puts a client's patience back whenever something comes.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -67,9 +67,6 @@
 // New is a history that begins after a revision.
 func New(l Limits, after uint64) *History { return &History{limits: l, floor: after, at: after} }
 
-// At is the revision up to which all is known.
-func (h *History) At() uint64 { return h.at }
-
 // Add takes the next revision, which may have changed nothing. Numbers may leave
 // gaps, and never go back.
 func (h *History) Add(number uint64, changes []Change) {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -10,14 +10,14 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"oxbowbridge/internal/rapidseed"
 )
 
 // TestMain has rapid try the same histories each time, unless a seed is given.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
-		flag.Set("rapid.seed", "20261201")
-	}
+	rapidseed.Fix()
 	os.Exit(m.Run())
 }
 
@@ -34,7 +34,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0:
-				reset = h.At() + uint64(rapid.IntRange(0, 3).Draw(t, "ahead"))
+				reset = h.at + uint64(rapid.IntRange(0, 3).Draw(t, "ahead"))
 				h.Reset(reset)
 			case 1, 2: // the follower takes a page
 				got, to, err := h.Since(next, prefix, page)
@@ -54,10 +54,10 @@
 				}
 				require.Equal(t, want, got)
 				require.GreaterOrEqual(t, to, next)
-				require.LessOrEqual(t, to, max(next, h.At()+1))
+				require.LessOrEqual(t, to, max(next, h.at+1))
 				next = to
 			default:
-				r := Revision{Number: h.At() + uint64(rapid.IntRange(1, 3).Draw(t, "gap"))}
+				r := Revision{Number: h.at + uint64(rapid.IntRange(1, 3).Draw(t, "gap"))}
 				for i := range rapid.IntRange(0, 3).Draw(t, "changes") {
 					key := rapid.SampledFrom([]string{"a/", "b/"}).Draw(t, "of") + fmt.Sprint(i)
 					r.Changes = append(r.Changes, Change{Key: key, Value: json.RawMessage(strings.Repeat("7", i+1))})
@@ -69,7 +69,7 @@
 			require.LessOrEqual(t, len(h.list), limits.Revisions)
 			require.LessOrEqual(t, h.bytes, limits.Bytes)
 		}
-		for i := 0; next <= h.At(); i++ { // the rest, in so many pages at most
+		for i := 0; next <= h.at; i++ { // the rest, in so many pages at most
 			_, to, err := h.Since(next, prefix, page)
 			if err != nil {
 				break
--- a/tests/backup_test.go
+++ b/tests/backup_test.go
@@ -68,12 +68,12 @@
 	wg.Wait()
 	path := filepath.Join(t.TempDir(), "backup")
 	nodes := "--nodes=" + strings.Join(client.Nodes, ",")
-	out, code := sub(t, "", "store", "backup", path, nodes)
+	out, code := sub(t, "store", "backup", path, nodes)
 	require.Equal(t, 0, code, out)
 	require.Contains(t, out, head.Cluster)
-	_, code = sub(t, "", "store", "backup", path, nodes)
+	_, code = sub(t, "store", "backup", path, nodes)
 	require.Equal(t, 1, code, "a file that is there is not written over")
-	out, code = sub(t, "", "store", "restore", path, nodes)
+	out, code = sub(t, "store", "restore", path, nodes)
 	require.Equal(t, 1, code, out)
 	require.Contains(t, out, "taken from")
 
@@ -83,13 +83,13 @@
 	fresh := "--nodes=" + n.peers[(n.leader()+1)%3]["admin"].(string) // not the leader
 	bad := filepath.Join(t.TempDir(), "bad")
 	require.NoError(t, os.WriteFile(bad, bytes.Replace(text, []byte(`"n":39`), []byte(`"n":38`), 1), 0o600))
-	out, code = sub(t, "", "store", "restore", bad, fresh)
+	out, code = sub(t, "store", "restore", bad, fresh)
 	require.Equal(t, 1, code, out)
 	require.Contains(t, out, "damaged")
 	status, _ := n.http(0, "POST", "/restore", string(text[:len(text)-3]))
 	require.Equal(t, 400, status)
 	for range 2 { // the second time as if the answer had been lost
-		out, code = sub(t, "", "store", "restore", path, fresh)
+		out, code = sub(t, "store", "restore", path, fresh)
 		require.Equal(t, 0, code, out)
 	}
 	for i := range 3 {
@@ -98,17 +98,17 @@
 		require.Equal(t, 404, status)
 	}
 	other := filepath.Join(t.TempDir(), "other")
-	_, code = sub(t, "", "store", "backup", other, fresh)
+	_, code = sub(t, "store", "backup", other, fresh)
 	require.Equal(t, 0, code)
-	_, code = sub(t, "", "store", "put", "note/later", "1", nodes)
+	_, code = sub(t, "store", "put", "note/later", "1", nodes)
 	require.Equal(t, 0, code)
 	again, _, err := client.Backup(t.Context())
 	require.NoError(t, err)
 	require.Equal(t, head.Cluster, again.Cluster)
 	require.NoError(t, os.Remove(path))
-	_, code = sub(t, "", "store", "backup", path, nodes)
+	_, code = sub(t, "store", "backup", path, nodes)
 	require.Equal(t, 0, code)
-	out, code = sub(t, "", "store", "restore", path, fresh)
+	out, code = sub(t, "store", "restore", path, fresh)
 	require.Equal(t, 1, code, out)
 	require.Contains(t, out, "empty")
 	require.Equal(t, 204, func() int { code, _ := n.http(1, "PUT", "/store/note/on", "1"); return code }(), "it goes on after a refusal")
@@ -215,7 +215,7 @@
 }
 
 // sub runs a sub-command, and gives both its outputs as one.
-func sub(t *testing.T, in string, args ...string) (string, int) {
-	out, errs, code := cli(t, in, args...)
+func sub(t *testing.T, args ...string) (string, int) {
+	out, errs, code := cli(t, "", args...)
 	return out + errs, code
 }
--- a/tests/faults_test.go
+++ b/tests/faults_test.go
@@ -112,13 +112,8 @@
 }
 
 func newWired(t *testing.T) *wired {
-	w := &wired{wires: map[[2]int][]*wire{}}
-	c := &cluster{t: t, sql: object{}, nodes: make([]*service, 3)}
-	w.cluster = c
-	for i := range 3 {
-		c.peers = append(c.peers, object{"name": fmt.Sprint("s", i), "raft": freePort(t), "admin": freePort(t)})
-		c.dirs = append(c.dirs, t.TempDir())
-	}
+	c := newNodes(t, object{})
+	w := &wired{cluster: c, wires: map[[2]int][]*wire{}}
 	c.view = func(i int) (view []object) {
 		for j, p := range c.peers {
 			if j != i {
@@ -136,10 +131,7 @@
 			}
 		}
 	}
-	for i := range 3 {
-		c.start(i)
-	}
-	c.leader()
+	c.begin()
 	return w
 }
 
@@ -366,17 +358,7 @@
 	require.Equal(t, porcupine.Ok, result)
 	assert.Greater(t, h.count.writes, 50)
 	assert.Greater(t, h.count.reads, 100)
-	await(t, "three equal nodes", func() bool {
-		var all [3]string
-		for i := range all {
-			code, text := w.http(i, "GET", "/store", "")
-			if code != 200 || !strings.Contains(text, "reg/") {
-				return false
-			}
-			all[i] = strings.Split(text, `,"state/`)[0]
-		}
-		return all[0] == all[1] && all[1] == all[2]
-	})
+	w.equal()
 	t.Logf("%v: %d writes and compare-and-sets, %d reads, %d writes of unknown outcome, %d not answered", *faultTime,
 		h.count.writes, h.count.reads, h.count.unknown, h.count.refused)
 	for _, f := range faults {
--- a/tests/linear_test.go
+++ b/tests/linear_test.go
@@ -211,7 +211,12 @@
 	require.Equal(t, porcupine.Ok, result)
 	assert.Greater(t, h.count.writes, 50)
 	assert.Greater(t, h.count.reads, 100)
-	await(t, "three equal nodes", func() bool { // a write of unknown outcome may still come
+	c.equal()
+}
+
+// equal waits until the nodes are: a write of unknown outcome may still come.
+func (c *cluster) equal() {
+	await(c.t, "three equal nodes", func() bool {
 		var all [3]string
 		for i := range all {
 			code, text := c.http(i, "GET", "/store", "")
@@ -474,10 +479,7 @@
 func TestStoreCommands(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, object{})
-	var nodes []string
-	for _, p := range c.peers {
-		nodes = append(nodes, p["admin"].(string))
-	}
+	nodes := c.client().Nodes
 	all := "--nodes=" + strings.Join(nodes, ",")
 	out, errs, code := cli(t, "", "store", "put", "note/a", `"one"`, all)
 	require.Zero(t, code, errs)
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -112,15 +112,32 @@
 
 // service is the program under test.
 type service struct {
-	t      *testing.T
-	cmd    *exec.Cmd
-	fcgi   string
-	ajp    string
-	mu     sync.Mutex
-	stderr bytes.Buffer
-	exit   chan error
-	cfg    object
-	path   string
+	t    *testing.T
+	cmd  *exec.Cmd
+	fcgi string
+	ajp  string
+	exit chan error
+	cfg  object
+	path string
+	logBuffer
+}
+
+// logBuffer is what a process has written so far.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *logBuffer) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *logBuffer) log() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 func (s *service) writeConfig() {
@@ -143,18 +160,6 @@
 	return said()[n]
 }
 
-func (s *service) Write(b []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.stderr.Write(b)
-}
-
-func (s *service) log() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.stderr.String()
-}
-
 // start runs the program with a configuration that change may alter.
 func start(t *testing.T, change func(object)) *service {
 	s := &service{t: t, fcgi: freePort(t), ajp: freePort(t), exit: make(chan error, 1)}
--- a/tests/store_test.go
+++ b/tests/store_test.go
@@ -31,16 +31,27 @@
 }
 
 func newCluster(t *testing.T, sql object) *cluster {
+	c := newNodes(t, sql)
+	c.begin()
+	return c
+}
+
+// newNodes is a cluster of which nothing runs yet.
+func newNodes(t *testing.T, sql object) *cluster {
 	c := &cluster{t: t, sql: sql, nodes: make([]*service, 3)}
 	for i := range 3 {
 		c.peers = append(c.peers, object{"name": fmt.Sprint("s", i), "raft": freePort(t), "admin": freePort(t)})
 		c.dirs = append(c.dirs, t.TempDir())
 	}
-	for i := range 3 {
+	return c
+}
+
+// begin starts all nodes, and waits for a leader.
+func (c *cluster) begin() {
+	for i := range c.nodes {
 		c.start(i)
 	}
 	c.leader()
-	return c
 }
 
 func (c *cluster) start(i int) {
--- a/tests/watch_test.go
+++ b/tests/watch_test.go
@@ -1,13 +1,13 @@
 package tests
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os/exec"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -34,31 +34,25 @@
 type follower struct {
 	mu   sync.Mutex
 	revs []watch.Revision
-	err  error
 }
 
 func follow(t *testing.T, c *store.Client, prefix string, from uint64) *follower {
 	f := &follower{}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	go func() {
-		err := c.Watch(ctx, prefix, from, func(r watch.Revision) error {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			f.revs = append(f.revs, r)
-			return nil
-		})
+	go c.Watch(ctx, prefix, from, func(r watch.Revision) error {
 		f.mu.Lock()
-		f.err = err
-		f.mu.Unlock()
-	}()
+		defer f.mu.Unlock()
+		f.revs = append(f.revs, r)
+		return nil
+	})
 	return f
 }
 
 func (f *follower) told() []watch.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return append([]watch.Revision(nil), f.revs...)
+	return slices.Clone(f.revs)
 }
 
 // until waits for a key to be told of.
@@ -214,13 +208,13 @@
 	client := c.client()
 	_, err := client.Put(t.Context(), "w/first", json.RawMessage("1"), nil)
 	require.NoError(t, err)
-	var out safeBuffer
+	var out logBuffer
 	cmd := exec.Command(program, "store", "watch", "w/", "--list", "--nodes="+strings.Join(client.Nodes, ","))
 	cmd.Stdout, cmd.Stderr = &out, &out
 	require.NoError(t, cmd.Start())
 	t.Cleanup(func() { cmd.Process.Kill() })
 	says := func(what string) {
-		await(t, "the line "+what, func() bool { return strings.Contains(out.text(), what) })
+		await(t, "the line "+what, func() bool { return strings.Contains(out.log(), what) })
 	}
 	says("w/first\t1\n")
 	_, err = client.Put(t.Context(), "w/second", json.RawMessage(`{"x":2}`), nil)
@@ -231,23 +225,6 @@
 	says("w/first\t(deleted)\n")
 	require.NoError(t, cmd.Process.Signal(syscall.SIGINT))
 	require.NoError(t, cmd.Wait())
-	_, code := sub(t, "", "store", "watch", "--list", "--from", "3")
+	_, code := sub(t, "store", "watch", "--list", "--from", "3")
 	assert.Equal(t, 2, code)
 }
-
-type safeBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (s *safeBuffer) Write(b []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.Write(b)
-}
-
-func (s *safeBuffer) text() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.String()
-}
