--- a/tests/deploy_test.go
+++ b/tests/deploy_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"debug/elf"
+	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -21,3 +26,93 @@
 	assert.Contains(t, libs, "libc.so.6")
 	assert.Equal(t, "exec bin/oxbowbridge", deployed("run"))
 }
+
+// TestNothingOfOurs: with a file as the platform writes it the service listens at its one
+// address, talks to the three that are named, opens no Unix socket and no file to write,
+// and starts no other process: what is ours is off unless its section is there.
+func TestNothingOfOurs(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, func(cfg object) { delete(cfg, "ajp") })
+	for _, class := range classNames {
+		assert.Equal(t, 200, w.status(class, "call"))
+	}
+	got := look(t, w.cmd.Process.Pid)
+	assert.Equal(t, []string{w.fcgi}, got.listens)
+	assert.Empty(t, got.unix)
+	assert.Empty(t, got.writes)
+	assert.Empty(t, got.children)
+	for _, addr := range got.calls {
+		assert.Contains(t, []string{w.engine.addr, w.records.addr}, addr)
+	}
+	with := newWorld(t, nil) // the check sees what a section turns on
+	assert.Equal(t, 2, len(look(t, with.cmd.Process.Pid).listens))
+}
+
+// open is what a process has open to the outside.
+type open struct{ listens, calls, unix, writes, children []string }
+
+// look reads what the system tells of a process.
+func look(t *testing.T, pid int) (out open) {
+	proc := fmt.Sprint("/proc/", pid)
+	fds, err := filepath.Glob(proc + "/fd/*")
+	require.NoError(t, err)
+	own := map[string]bool{}
+	for _, fd := range fds {
+		to, err := os.Readlink(fd)
+		if err != nil {
+			continue // closed meanwhile
+		}
+		if inode, ok := strings.CutPrefix(to, "socket:["); ok {
+			own[strings.TrimSuffix(inode, "]")] = true
+			continue
+		}
+		info, err := os.ReadFile(proc + "/fdinfo/" + filepath.Base(fd))
+		_, flags, _ := strings.Cut(string(info), "flags:\t")
+		flags, _, _ = strings.Cut(flags, "\n")
+		if mode, perr := strconv.ParseUint(flags, 8, 64); err == nil && perr == nil && mode&3 != 0 && strings.HasPrefix(to, "/") && !strings.HasPrefix(to, "/dev/") {
+			out.writes = append(out.writes, to)
+		}
+	}
+	rows := func(name string, inode int, each func([]string)) {
+		text, err := os.ReadFile(proc + "/net/" + name)
+		if os.IsNotExist(err) {
+			return
+		}
+		require.NoError(t, err)
+		for line := range strings.Lines(string(text)) {
+			if f := strings.Fields(line); len(f) > inode && own[f[inode]] {
+				each(f)
+			}
+		}
+	}
+	for _, name := range []string{"tcp", "tcp6"} {
+		rows(name, 9, func(f []string) {
+			switch local, remote := address(f[1]), address(f[2]); {
+			case f[3] == "0A":
+				out.listens = append(out.listens, local)
+			case !slices.Contains(out.listens, local):
+				out.calls = append(out.calls, remote)
+			}
+		})
+	}
+	rows("unix", 6, func(f []string) { out.unix = append(out.unix, strings.Join(f, " ")) })
+	stats, err := filepath.Glob("/proc/[0-9]*/stat")
+	require.NoError(t, err)
+	for _, path := range stats {
+		text, err := os.ReadFile(path)
+		if _, rest, ok := strings.Cut(string(text), ") "); err == nil && ok && strings.Fields(rest)[1] == fmt.Sprint(pid) {
+			out.children = append(out.children, string(text))
+		}
+	}
+	return out
+}
+
+// address is one of /proc/net/tcp, as the rest of the tests writes it.
+func address(hex string) string {
+	var a, b, c, d byte
+	var port int
+	if n, _ := fmt.Sscanf(hex, "%02X%02X%02X%02X:%04X", &d, &c, &b, &a, &port); n != 5 || len(hex) != 13 {
+		return hex
+	}
+	return fmt.Sprintf("%d.%d.%d.%d:%d", a, b, c, d, port)
+}
