--- a/cmd/oxbowbridge/keeper.go
+++ b/cmd/oxbowbridge/keeper.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"oxbowbridge/internal/store"
+	"oxbowbridge/internal/storeadmin"
 	"oxbowbridge/internal/wire"
 	"oxbowbridge/rules"
 )
@@ -40,7 +41,7 @@
 	if cfg.Store == nil {
 		return &keeper{}, nil
 	}
-	s, err := store.Open(*cfg.Store, log.Named("store"))
+	s, err := storeadmin.Open(*cfg.Store, log.Named("store"))
 	if err != nil {
 		return nil, fmt.Errorf("%w: store: %w", errConfig, err)
 	}
--- a/cmd/oxbowbridge/store.go
+++ b/cmd/oxbowbridge/store.go
@@ -17,7 +17,8 @@
 	"github.com/spf13/cobra"
 
 	"oxbowbridge/internal/kv"
-	"oxbowbridge/internal/store"
+	"oxbowbridge/internal/storeapi"
+	"oxbowbridge/internal/storeclient"
 	"oxbowbridge/internal/watch"
 )
 
@@ -38,9 +39,9 @@
 	c := &cobra.Command{Use: "store", Short: "Read and write the replicated store, at any of its nodes"}
 	c.PersistentFlags().StringSliceVar(&s.nodes, "nodes", []string{"127.0.0.1:7201"}, "admin addresses, any or all of them")
 	c.PersistentFlags().BoolVar(&s.asJSON, "json", false, "print JSON in place of tables")
-	add := func(use, short string, args cobra.PositionalArgs, run func(*cobra.Command, *store.Client, []string) error) *cobra.Command {
+	add := func(use, short string, args cobra.PositionalArgs, run func(*cobra.Command, *storeclient.Client, []string) error) *cobra.Command {
 		sub := &cobra.Command{Use: use, Short: short, Args: func(c *cobra.Command, a []string) error { return badCall(args(c, a)) },
-			RunE: func(c *cobra.Command, a []string) error { return run(c, store.NewClient(s.nodes), a) }}
+			RunE: func(c *cobra.Command, a []string) error { return run(c, storeclient.New(s.nodes), a) }}
 		c.AddCommand(sub)
 		return sub
 	}
@@ -78,10 +79,10 @@
 	return w.Flush()
 }
 
-func (s *storeCLI) status(c *cobra.Command, client *store.Client, _ []string) error {
+func (s *storeCLI) status(c *cobra.Command, client *storeclient.Client, _ []string) error {
 	type line struct {
 		Address string `json:"address"`
-		store.Status
+		storeapi.Status
 		Away string `json:"away,omitempty"`
 	}
 	var lines []line
@@ -114,7 +115,7 @@
 	return err
 }
 
-func (s *storeCLI) get(c *cobra.Command, client *store.Client, args []string) error {
+func (s *storeCLI) get(c *cobra.Command, client *storeclient.Client, args []string) error {
 	query := ""
 	switch {
 	case s.local:
@@ -148,7 +149,7 @@
 }
 
 // watch prints one line for each key that changes, or with --json for each revision.
-func (s *storeCLI) watch(c *cobra.Command, client *store.Client, args []string) error {
+func (s *storeCLI) watch(c *cobra.Command, client *storeclient.Client, args []string) error {
 	if s.list && s.from != 0 {
 		return badCall(errors.New("--list and --from exclude each other"))
 	}
@@ -201,7 +202,7 @@
 	return err
 }
 
-func (s *storeCLI) backup(c *cobra.Command, client *store.Client, args []string) error {
+func (s *storeCLI) backup(c *cobra.Command, client *storeclient.Client, args []string) error {
 	head, text, err := client.Backup(c.Context())
 	if err != nil {
 		return err
@@ -233,7 +234,7 @@
 	return errors.Join(dir.Sync(), dir.Close())
 }
 
-func (s *storeCLI) restore(c *cobra.Command, client *store.Client, args []string) error {
+func (s *storeCLI) restore(c *cobra.Command, client *storeclient.Client, args []string) error {
 	if s.undo != (len(args) == 0) {
 		return badCall(errors.New("want FILE, or --undo"))
 	}
@@ -262,7 +263,7 @@
 	return &s.match
 }
 
-func (s *storeCLI) put(c *cobra.Command, client *store.Client, args []string) error {
+func (s *storeCLI) put(c *cobra.Command, client *storeclient.Client, args []string) error {
 	if !json.Valid([]byte(args[1])) {
 		return badCall(fmt.Errorf("%q is not JSON; a text needs its quotes", args[1]))
 	}
@@ -270,12 +271,12 @@
 	return s.told(c, a, err)
 }
 
-func (s *storeCLI) delete(c *cobra.Command, client *store.Client, args []string) error {
+func (s *storeCLI) delete(c *cobra.Command, client *storeclient.Client, args []string) error {
 	a, err := client.Delete(c.Context(), args[0], s.condition(c))
 	return s.told(c, a, err)
 }
 
-func (s *storeCLI) txn(c *cobra.Command, client *store.Client, _ []string) error {
+func (s *storeCLI) txn(c *cobra.Command, client *storeclient.Client, _ []string) error {
 	d := json.NewDecoder(io.LimitReader(c.InOrStdin(), 1<<20))
 	d.DisallowUnknownFields()
 	var r kv.Request
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -27,10 +27,12 @@
 
 // Keys with a meaning of their own.
 const (
-	Reserved   = "_cluster/"          // prefix of what the store keeps about itself
-	ClusterKey = Reserved + "id"      // names the cluster, for as long as it lives
-	RestoreKey = Reserved + "restore" // there while a backup is written back, and says which
-	StatePart  = "state/"             // prefix of what services say of themselves; no backup puts it back
+	Reserved   = "_cluster/"           // prefix of what the store keeps about itself
+	ClusterKey = Reserved + "id"       // names the cluster, for as long as it lives
+	RestoreKey = Reserved + "restore"  // there while a backup is written back, and says which
+	GonePart   = Reserved + "removed/" // and a name: operators want no such member
+	VotePart   = Reserved + "prefer/"  // and a name: operators want it to have a vote
+	StatePart  = "state/"              // prefix of what services say of themselves; no backup puts it back
 )
 
 // Users tells whether a key is neither the store's own nor what a service says of itself.
@@ -160,14 +162,29 @@
 	TimeMS   int64               `json:"time_ms"` // never goes back
 	Entries  map[string]Entry    `json:"entries"`
 	Sessions map[uint64]*session `json:"sessions"`
+
+	bytes int // of all values; -1 until it is counted
+}
+
+// Bytes of all values.
+func (s *State) Bytes() int {
+	if s.bytes < 0 {
+		s.bytes = 0
+		for _, e := range s.Entries {
+			s.bytes += len(e.Value)
+		}
+	}
+	return s.bytes
 }
 
 // New is an empty state.
-func New() *State { return &State{Entries: map[string]Entry{}, Sessions: map[uint64]*session{}} }
+func New() *State {
+	return &State{Entries: map[string]Entry{}, Sessions: map[uint64]*session{}, bytes: -1}
+}
 
 // Clone copies it, but for the values, which nothing changes.
 func (s *State) Clone() *State {
-	c := &State{Applied: s.Applied, TimeMS: s.TimeMS, Entries: maps.Clone(s.Entries), Sessions: map[uint64]*session{}}
+	c := &State{Applied: s.Applied, TimeMS: s.TimeMS, Entries: maps.Clone(s.Entries), Sessions: map[uint64]*session{}, bytes: -1}
 	for id, x := range s.Sessions {
 		c.Sessions[id] = &session{x.SeenMS, x.Last, slices.Clone(x.Kept)}
 	}
@@ -301,6 +318,9 @@
 		return Answer{}, nil, fmt.Errorf("%w: %d bytes are read, a session keeps answers of at most %d", ErrRequest, size, AnswerBytes)
 	}
 	for key, e := range fresh {
+		if s.bytes >= 0 {
+			s.bytes += len(e.Value) - len(s.Entries[key].Value)
+		}
 		s.Entries[key] = e
 		changed = append(changed, key)
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -28,6 +28,8 @@
 	Down    time.Duration // for how long, if it isn't up
 	Behind  uint64        // log entries that it misses
 	Leaving bool          // an operator wants it out
+	Lost    bool          // its disk is gone: another one bears its name
+	Wanted  bool          // an operator wants it to have a vote
 }
 
 // View is all that a decision rests on.
@@ -73,7 +75,7 @@
 func Quorum(voters int) int { return voters/2 + 1 }
 
 // sound is a member that can be counted on: up, not leaving, and with the log.
-func (p Policy) sound(m Member) bool { return m.Up && m.Behind <= p.Lag }
+func (p Policy) sound(m Member) bool { return m.Up && !m.Lost && m.Behind <= p.Lag }
 
 // census counts the voters of a view.
 type census struct {
@@ -104,7 +106,9 @@
 }
 
 // outgoing is a voter whose vote is to go to another.
-func (p Policy) outgoing(m Member) bool { return m.Leaving || !m.Up && m.Down >= p.ReplaceAfter }
+func (p Policy) outgoing(m Member) bool {
+	return m.Leaving || m.Lost || !m.Up && m.Down >= p.ReplaceAfter
+}
 
 // Next is the one step to take now. Whatever it is, a majority of the voters after it
 // is up and has the log, if it was so before; and it is never taken back by the next,
@@ -120,12 +124,25 @@
 	if s := p.shrink(v, c); s.Kind != None {
 		return s
 	}
+	if s := p.prefer(v, c); s.Kind != None {
+		return s
+	}
 	if s := p.balance(v, c); s.Kind != None {
 		return s
 	}
 	return p.forget(v)
 }
 
+func whyOut(m Member) string {
+	switch {
+	case m.Lost:
+		return "its disk is gone"
+	case m.Leaving:
+		return "it leaves"
+	}
+	return "it was down for too long"
+}
+
 // grow gives a learner the vote that is missing. It comes before its predecessor
 // loses its own, so that no copy is given up before there is another. A sound voter
 // more never costs the majority: that of one more is at most one more.
@@ -146,7 +163,7 @@
 		if m.Role != Learner || m.Leaving || !p.sound(m) {
 			continue
 		}
-		if !found || cmp.Or(cmp.Compare(c.zones[m.Zone], c.zones[best.Zone]), cmp.Compare(m.Behind, best.Behind), cmp.Compare(m.ID, best.ID)) < 0 {
+		if !found || cmp.Or(unwanted(m)-unwanted(best), cmp.Compare(c.zones[m.Zone], c.zones[best.Zone]), cmp.Compare(m.Behind, best.Behind), cmp.Compare(m.ID, best.ID)) < 0 {
 			best, found = m, true
 		}
 	}
@@ -169,7 +186,7 @@
 			return p.transfer(v, "the leader leaves")
 		}
 		if p.without(c, m) {
-			return Step{Demote, m.ID, "leaves, or was down for too long"}
+			return Step{Demote, m.ID, whyOut(m)}
 		}
 	}
 	if c.staying <= p.Voters {
@@ -190,7 +207,25 @@
 	return c.voters > 1 && sound >= Quorum(c.voters-1)
 }
 
-// spare is the voter that is missed the least: unsound ones first, then of the zone
+// prefer gives a vote to a learner that operators want to have one, if a voter that they
+// don't care for can give it up.
+func (p Policy) prefer(v View, c census) Step {
+	m, ok := p.candidate(v, c)
+	if s, found := p.spare(v, c); !ok || !m.Wanted || !found || s.Wanted || !p.without(c, s) {
+		return Step{}
+	}
+	return Step{Promote, m.ID, "an operator wants it to have a vote"}
+}
+
+func unwanted(m Member) int {
+	if m.Wanted {
+		return 0
+	}
+	return 1
+}
+
+// spare is the voter that is missed the least: those first that no operator wants, then
+// unsound ones, then of the zone
 // with the most, never the leader.
 func (p Policy) spare(v View, c census) (best Member, found bool) {
 	unsound := func(m Member) int {
@@ -203,7 +238,7 @@
 		if m.Role != Voter || m.ID == v.Leader || p.outgoing(m) {
 			continue
 		}
-		if !found || cmp.Or(cmp.Compare(unsound(m), unsound(best)), cmp.Compare(c.zones[m.Zone], c.zones[best.Zone]), cmp.Compare(m.ID, best.ID)) > 0 {
+		if !found || cmp.Or(unwanted(m)-unwanted(best), cmp.Compare(unsound(m), unsound(best)), cmp.Compare(c.zones[m.Zone], c.zones[best.Zone]), cmp.Compare(m.ID, best.ID)) > 0 {
 			best, found = m, true
 		}
 	}
@@ -233,7 +268,7 @@
 	if !ok || slices.Max(counts)-slices.Min(counts) < 2 || c.zones[m.Zone] != slices.Min(counts) {
 		return Step{}
 	}
-	if s, ok := p.spare(v, c); !ok || c.zones[s.Zone]-c.zones[m.Zone] < 2 {
+	if s, ok := p.spare(v, c); !ok || s.Wanted || c.zones[s.Zone]-c.zones[m.Zone] < 2 {
 		return Step{} // who would lose a vote for it is elsewhere
 	}
 	return Step{Promote, m.ID, "its zone has two voters less than another"}
@@ -242,8 +277,8 @@
 // forget removes learners that leave, or that nobody has seen for long.
 func (p Policy) forget(v View) Step {
 	for _, m := range v.Members {
-		if m.Role == Learner && (m.Leaving || !m.Up && p.ForgetAfter > 0 && m.Down >= p.ForgetAfter) {
-			return Step{Remove, m.ID, "has left, or was not seen for long"}
+		if m.Role == Learner && (m.Leaving || m.Lost || !m.Up && p.ForgetAfter > 0 && m.Down >= p.ForgetAfter) {
+			return Step{Remove, m.ID, whyOut(m)}
 		}
 	}
 	return Step{}
--- a/internal/raftdisk/disk.go
+++ b/internal/raftdisk/disk.go
@@ -41,6 +41,7 @@
 	store *durable.Store
 	log   *stream.Stream
 	snaps snapshots
+	conf  confCache
 }
 
 // Open opens a node's folder, or makes it. One that misses what was acknowledged
@@ -129,6 +130,7 @@
 		if err := d.log.Append(logs[0].Index, entries, durable.Synced); err != nil {
 			return err
 		}
+		d.conf.stored(logs[:len(entries)])
 		logs = logs[len(entries):]
 	}
 	return nil
@@ -137,6 +139,7 @@
 // DeleteRange cuts entries off at the front or at the back, up to and with the last.
 func (d *Disk) DeleteRange(from, to uint64) error {
 	first, last := d.log.Bounds()
+	defer d.conf.drop()
 	switch {
 	case first == 0 || to < first || from > last:
 		return nil
--- a/internal/raftdisk/snapshot.go
+++ b/internal/raftdisk/snapshot.go
@@ -43,7 +43,7 @@
 	d.snaps.made++
 	id := fmt.Sprintf("%020d-%020d-%d-%d", term, index, seq, d.snaps.made)
 	d.snaps.mu.Unlock()
-	return &sink{s: &d.snaps, meta: raft.SnapshotMeta{Version: version, ID: id, Index: index, Term: term, Configuration: conf,
+	return &sink{s: &d.snaps, done: d.conf.drop, meta: raft.SnapshotMeta{Version: version, ID: id, Index: index, Term: term, Configuration: conf,
 		ConfigurationIndex: confIndex}}, nil
 }
 
@@ -147,6 +147,7 @@
 	buf    []byte
 	chunks uint64
 	ended  bool
+	done   func()
 }
 
 func (k *sink) ID() string { return k.meta.ID }
@@ -203,6 +204,7 @@
 		}
 	}
 	_, err = k.s.store.Apply(&b, durable.Synced) // what was buffered before it is on disk with it
+	k.done()
 	return err
 }
 
--- /dev/null
+++ b/internal/store/disk.go
@@ -0,0 +1,194 @@
+package store
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/hashicorp/raft"
+	"go.uber.org/zap"
+
+	"oxbowbridge/internal/durable"
+	"oxbowbridge/internal/identity"
+	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/raftdisk"
+)
+
+// What a node keeps beside its log.
+const (
+	keptDisk   = "disk"   // the disk's identity
+	keptStarts = "starts" // how often it was opened
+	keptJoiner = "joiner" // there if the folder took the place of another
+	keptSeen   = "seen"   // marks of other disks
+	diskBytes  = 8        // of a disk's identity
+)
+
+// openDisk opens the node's folder, or makes it. One that is damaged is set aside, whole,
+// and a new one is begun that never makes a cluster: what it promised, others must know.
+func (s *Store) openDisk() (*raftdisk.Disk, error) {
+	disk, err := s.tryDisk()
+	if !errors.Is(err, durable.ErrDamaged) {
+		return disk, err
+	}
+	aside := ""
+	for n := 1; ; n++ {
+		aside = fmt.Sprintf("%s.refused-%d", s.cfg.Dir, n)
+		if _, serr := os.Lstat(aside); os.IsNotExist(serr) {
+			break
+		}
+	}
+	s.log.Error("folder is damaged, it is set aside, and this node becomes a new member", zap.String("aside", aside), zap.Error(err))
+	if err := os.Rename(s.cfg.Dir, aside); err != nil {
+		return nil, fmt.Errorf("set damaged folder aside: %w", err)
+	}
+	if disk, err = s.tryDisk(); err != nil {
+		return nil, err
+	}
+	if err := disk.Keep(keptJoiner, []byte("1")); err != nil {
+		disk.Close()
+		return nil, fmt.Errorf("mark new folder: %w", err)
+	}
+	return disk, nil
+}
+
+func (s *Store) tryDisk() (*raftdisk.Disk, error) {
+	if err := os.MkdirAll(s.cfg.Dir, 0o750); err != nil {
+		return nil, fmt.Errorf("dir: %w", err)
+	}
+	disk, report, err := s.openFolder(s.cfg.Dir)
+	if err != nil {
+		return nil, fmt.Errorf("dir: %w", err)
+	}
+	if report.Loss == durable.TailLoss {
+		s.log.Info("unsynced tail of the log cut off", zap.Int64("bytes", report.CutBytes))
+	}
+	return disk, nil
+}
+
+// folder is what a node knows of its disk when it starts.
+type folder struct {
+	disk   *raftdisk.Disk
+	own    identity.Own
+	starts uint64
+}
+
+// readFolder reads a disk's identity, or gives it one, and counts the start.
+func (s *Store) readFolder(disk *raftdisk.Disk) (*folder, error) {
+	f := &folder{disk: disk}
+	id, err := disk.Kept(keptDisk)
+	if err != nil {
+		return nil, fmt.Errorf("identity of the disk: %w", err)
+	}
+	if id == nil {
+		if id, err = newDiskID(disk); err != nil {
+			return nil, err
+		}
+	}
+	starts, err := disk.Kept(keptStarts)
+	if err != nil {
+		return nil, fmt.Errorf("starts: %w", err)
+	}
+	if starts != nil {
+		if f.starts, err = strconv.ParseUint(string(starts), 10, 64); err != nil {
+			return nil, fmt.Errorf("starts: %w", err)
+		}
+	}
+	f.starts++
+	if err := disk.Keep(keptStarts, strconv.AppendUint(nil, f.starts, 10)); err != nil {
+		return nil, fmt.Errorf("count start: %w", err)
+	}
+	joiner, err := disk.Kept(keptJoiner)
+	if err != nil {
+		return nil, fmt.Errorf("marker: %w", err)
+	}
+	f.own = identity.Own{ID: identity.ID(s.self.Name, string(id)), Cluster: s.cluster.id(), Vouchers: s.cfg.Vouchers}
+	if f.own.Mark, err = disk.Mark(); err != nil {
+		return nil, fmt.Errorf("mark: %w", err)
+	}
+	f.own.Mark.Starts = f.starts
+	f.own.Empty = f.own.Mark.LastIndex == 0
+	f.own.Fresh = f.own.Empty && joiner == nil && f.own.Cluster == ""
+	if s.cfg.founder() {
+		for _, p := range s.cfg.Peers {
+			f.own.Founders = append(f.own.Founders, p.Name)
+		}
+	}
+	conf, index, err := disk.Configuration()
+	if err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	f.own.Config = index
+	f.own.Members, f.own.Voters = idsOf(conf)
+	// A log that the version before began knows members by their names alone.
+	if _, ok := serverOf(conf, s.self.Name); ok {
+		f.own.ID = s.self.Name
+	}
+	return f, nil
+}
+
+func newDiskID(disk *raftdisk.Disk) ([]byte, error) {
+	b := make([]byte, diskBytes)
+	rand.Read(b)
+	id := []byte(hex.EncodeToString(b))
+	if err := disk.Keep(keptDisk, id); err != nil {
+		return nil, fmt.Errorf("give the disk an identity: %w", err)
+	}
+	return id, nil
+}
+
+// renew gives a disk a new identity: what it promised before is not counted for it any
+// more. Its log stays, as most of it saves being sent again.
+func renew(disk *raftdisk.Disk, name string) (id string, err error) {
+	text, err := newDiskID(disk)
+	if err == nil {
+		err = disk.Keep(keptJoiner, []byte("1"))
+	}
+	return identity.ID(name, string(text)), err
+}
+
+func idsOf(conf raft.Configuration) (members, voters []string) {
+	for _, x := range conf.Servers {
+		members = append(members, string(x.ID))
+		if x.Suffrage == raft.Voter {
+			voters = append(voters, string(x.ID))
+		}
+	}
+	return members, voters
+}
+
+func serverOf(conf raft.Configuration, id string) (raft.Server, bool) {
+	for _, x := range conf.Servers {
+		if string(x.ID) == id {
+			return x, true
+		}
+	}
+	return raft.Server{}, false
+}
+
+// ledger is what this node has seen of other disks, the highest of each.
+type ledger map[string]identity.Mark
+
+func readLedger(disk *raftdisk.Disk) (ledger, error) {
+	l := ledger{}
+	text, err := disk.Kept(keptSeen)
+	if err == nil && text != nil {
+		err = json.Unmarshal(text, &l)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("marks of other disks: %w", err)
+	}
+	return l, nil
+}
+
+// readClusterID recalls the cluster that the folder is of.
+func readClusterID(disk *raftdisk.Disk) (string, error) {
+	id, err := disk.Kept(kv.ClusterKey)
+	if err != nil {
+		return "", fmt.Errorf("cluster id: %w", err)
+	}
+	return string(id), nil
+}
--- a/internal/store/fresh.go
+++ b/internal/store/fresh.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/raft"
+
+	"oxbowbridge/internal/storeapi"
 )
 
 // Freshness is what a reader asks for.
@@ -86,37 +89,71 @@
 	}
 }
 
-// readIndex is the last entry that was committed when this was called, if a
+// ReadIndex is the last entry that was committed when this was called, if a
 // majority still takes this node for the leader after it was read.
-func (s *Store) readIndex() (uint64, error) {
-	term := s.raft.CurrentTerm()
-	if s.raft.State() != raft.Leader {
-		return 0, errNoLeader
+func (s *Store) ReadIndex(ctx context.Context) (uint64, error) {
+	l, err := s.alive()
+	if err != nil {
+		return 0, err
+	}
+	term := l.raft.CurrentTerm()
+	if !l.leads() {
+		return 0, ErrNoLeader
 	}
 	// Guards against a leader that is new: until an entry of its own term is
 	// committed, it doesn't know how far its predecessors had come.
-	if s.barred.Load() != term {
-		if err := s.raft.Barrier(applyTimeout).Error(); err != nil {
+	if l.barred.Load() != term {
+		if err := done(ctx, l.raft.Barrier(storeapi.ApplyTime)); err != nil {
 			return 0, fmt.Errorf("first entry of term %d: %w", term, err)
 		}
-		if s.raft.CurrentTerm() != term {
-			return 0, errNoLeader
+		if l.raft.CurrentTerm() != term {
+			return 0, ErrNoLeader
 		}
-		s.barred.Store(term)
+		l.barred.Store(term)
 	}
-	index := s.raft.CommitIndex()
-	if err := s.raft.VerifyLeader().Error(); err != nil {
+	index := l.raft.CommitIndex()
+	if err := done(ctx, l.raft.VerifyLeader()); err != nil {
 		return 0, err
 	}
-	if s.raft.CurrentTerm() != term {
-		return 0, errNoLeader
+	if l.raft.CurrentTerm() != term {
+		return 0, ErrNoLeader
 	}
 	return index, nil
 }
 
-// fresh waits until this node knows what the reader asked for, and gives the age of
+// done waits for what Raft was asked to do. Raft never answers once its disk has failed
+// under it.
+func done(ctx context.Context, f raft.Future) error {
+	out := make(chan error, 1)
+	go func() { out <- f.Error() }()
+	select {
+	case err := <-out:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// committed asks whoever leads for its read index.
+func (s *Store) committed(ctx context.Context) (uint64, error) {
+	if s.Leads() {
+		return s.ReadIndex(ctx)
+	}
+	p, _, ok := s.Leader()
+	if !ok || p.Name == s.self.Name {
+		if _, err := s.alive(); err != nil {
+			return 0, err
+		}
+		return 0, ErrNoLeader
+	}
+	var at storeapi.ReadIndex
+	err := s.peers.client.Patient().One(ctx, p.Admin, http.MethodGet, "/index", nil, &at)
+	return at.Index, err
+}
+
+// Fresh waits until this node knows what the reader asked for, and gives the age of
 // what it knows.
-func (s *Store) fresh(ctx context.Context, f Freshness) (age time.Duration, err error) {
+func (s *Store) Fresh(ctx context.Context, f Freshness) (age time.Duration, err error) {
 	if f.Local {
 		return 0, nil
 	}
@@ -154,8 +191,12 @@
 // own count is what matters, up to the last command.
 func (s *Store) applied(ctx context.Context, index uint64) error {
 	for {
+		l, err := s.alive()
+		if err != nil {
+			return err
+		}
 		done, moved := s.state.progress()
-		if done >= index || s.raft.AppliedIndex() >= index && !s.commandIn(done+1, index) {
+		if done >= index || l.raft.AppliedIndex() >= index && !l.commandIn(done+1, index) {
 			return nil
 		}
 		select {
@@ -169,13 +210,13 @@
 
 // commandIn tells whether the log has a command in a range that the state may not
 // have yet. What the log has no more was in the state before it was cut off.
-func (s *Store) commandIn(from, to uint64) bool {
-	var l raft.Log
+func (l *life) commandIn(from, to uint64) bool {
+	var e raft.Log
 	for i := to; i >= from; i-- {
-		switch err := s.disk.GetLog(i, &l); {
+		switch err := l.disk.GetLog(i, &e); {
 		case errors.Is(err, raft.ErrLogNotFound):
 			return false
-		case err != nil || l.Type == raft.LogCommand:
+		case err != nil || e.Type == raft.LogCommand:
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/store/members.go
@@ -0,0 +1,329 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/raft"
+	"go.uber.org/zap"
+
+	"oxbowbridge/internal/identity"
+	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/membership"
+	"oxbowbridge/internal/storeapi"
+)
+
+// ErrRefused means that a member is not taken in; nothing was done.
+var ErrRefused = errors.New("not taken in")
+
+// ErrNoMember means that no such member is there.
+var ErrNoMember = errors.New("no such member")
+
+// views is what the leader made of the members last.
+type views struct {
+	mu      sync.Mutex
+	led     time.Time            // since when this node leads, in one go
+	changed time.Time            // when the configuration was last seen to change
+	index   uint64               // of that configuration
+	down    map[string]time.Time // since when a member was not heard of
+	next    membership.Step
+	view    membership.View
+}
+
+// lead looks at the members again and again, and takes the next step while this node leads.
+func (s *Store) lead(ctx context.Context, l *life) {
+	tick := time.NewTicker(askEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if !l.leads() {
+			l.view.mu.Lock()
+			l.view.led = time.Time{}
+			l.view.mu.Unlock()
+			continue
+		}
+		step, conf, index := s.look(l)
+		if step.Kind == membership.None {
+			continue
+		}
+		s.log.Info("members change", zap.Stringer("step", step.Kind), zap.String("member", step.ID), zap.String("why", step.Why))
+		if err := l.step(ctx, step, conf, index); err != nil && ctx.Err() == nil {
+			s.log.Warn("members did not change", zap.Stringer("step", step.Kind), zap.String("member", step.ID), zap.Error(err))
+		}
+	}
+}
+
+// look makes the leader's view, and gives the next step with the configuration that it
+// rests on.
+func (s *Store) look(l *life) (membership.Step, raft.Configuration, uint64) {
+	conf, index := l.conf()
+	now := time.Now()
+	l.view.mu.Lock()
+	defer l.view.mu.Unlock()
+	v := &l.view
+	if v.led.IsZero() {
+		v.led, v.changed, v.index, v.down = now, now, index, map[string]time.Time{}
+	}
+	if index != v.index {
+		v.index, v.changed = index, now
+	}
+	// A change must be committed before the next one; Raft sees to that too.
+	v.view = membership.View{Leader: l.id, Pending: l.raft.CommitIndex() < index, Settled: now.Sub(v.changed)}
+	for _, x := range conf.Servers {
+		v.view.Members = append(v.view.Members, s.seen(l, x, now))
+	}
+	s.convert(l, v.view.Members)
+	v.next = s.cfg.policy().Next(v.view)
+	return v.next, conf, index
+}
+
+// seen is one member as the leader sees it. The lock of the view is held.
+func (s *Store) seen(l *life, x raft.Server, now time.Time) membership.Member {
+	id := string(x.ID)
+	p := peerOf(x.ID, x.Address)
+	m := membership.Member{ID: id, Zone: p.Zone, Role: membership.Learner}
+	if own, ok := s.cfg.peer(p.Name); ok && own.Zone != "" && p.Zone == "" {
+		m.Zone = own.Zone
+	}
+	if x.Suffrage == raft.Voter {
+		m.Role = membership.Voter
+	}
+	_, m.Leaving = s.state.get(kv.GonePart + p.Name)
+	_, m.Wanted = s.state.get(kv.VotePart + p.Name)
+	if id == l.id {
+		m.Up = true
+		return m
+	}
+	h, heard := s.peers.last(p.Name)
+	m.Up = heard && h.ID == id && h.State == stateServing
+	m.Lost = heard && h.ID != id && (identity.Disk(h.ID) != "" || identity.Disk(id) != "") && identity.Name(h.ID) == p.Name
+	if m.Up {
+		m.Behind = l.raft.LastIndex() - min(l.raft.LastIndex(), h.Mark.LastIndex)
+		delete(l.view.down, id)
+		return m
+	}
+	since, known := l.view.down[id]
+	if !known {
+		since = now
+		l.view.down[id] = now
+	}
+	m.Down = now.Sub(since)
+	return m
+}
+
+// convert has members of the version before, known by their names alone, leave one by
+// one while all is well: each comes back by itself, under the identity of its disk.
+func (s *Store) convert(l *life, members []membership.Member) {
+	next, voters := -1, 0
+	for i, m := range members {
+		if h, _ := s.peers.last(identity.Name(m.ID)); !m.Up || m.Behind > lagMost || m.ID != l.id && h.old {
+			return
+		}
+		if m.Role == membership.Voter {
+			voters++
+		}
+		if identity.Disk(m.ID) == "" && (next < 0 || members[next].ID == l.id) {
+			next = i
+		}
+	}
+	if next >= 0 && (voters >= s.cfg.policy().Voters || members[next].Role == membership.Learner) {
+		members[next].Leaving = true
+	}
+}
+
+// step carries one change out. It takes effect only on the configuration that it was
+// decided on: another leader's change makes it fail.
+func (l *life) step(ctx context.Context, step membership.Step, conf raft.Configuration, index uint64) error {
+	x, ok := serverOf(conf, step.ID)
+	if !ok {
+		return fmt.Errorf("%w: %s", ErrNoMember, step.ID)
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeapi.ApplyTime)
+	defer cancel()
+	switch step.Kind {
+	case membership.Promote:
+		return done(ctx, l.raft.AddVoter(x.ID, x.Address, index, storeapi.ApplyTime))
+	case membership.Demote:
+		return done(ctx, l.raft.DemoteVoter(x.ID, index, storeapi.ApplyTime))
+	case membership.Remove:
+		return done(ctx, l.raft.RemoveServer(x.ID, index, storeapi.ApplyTime))
+	case membership.Transfer:
+		return done(ctx, l.raft.LeadershipTransferToServer(x.ID, x.Address))
+	}
+	return nil
+}
+
+// Join takes a node in as a learner; only the leader can.
+func (s *Store) Join(ctx context.Context, j storeapi.Join) error {
+	p := Peer{Name: identity.Name(j.ID), Raft: j.Raft, Admin: j.Admin, Zone: j.Zone}
+	if err := p.check(); err != nil {
+		return fmt.Errorf("%w: %w", kv.ErrRequest, err)
+	}
+	if disk := identity.Disk(j.ID); disk == "" || strings.ContainsAny(disk+p.Zone, "@|#") || len(j.ID)+len(p.Zone) > kv.KeyBytes {
+		return fmt.Errorf("%w: id: want a name, @ and a disk; zone: no |", kv.ErrRequest)
+	}
+	l, err := s.alive()
+	if err != nil {
+		return err
+	}
+	if !l.leads() {
+		return ErrNoLeader
+	}
+	if _, err := s.Fresh(ctx, Freshness{}); err != nil { // who was removed is known
+		return err
+	}
+	conf, index := l.conf()
+	if _, ok := serverOf(conf, j.ID); ok {
+		return nil // asked again
+	}
+	if l.raft.CommitIndex() < index {
+		return errors.New("a change of the members is not committed yet")
+	}
+	members, _ := idsOf(conf)
+	up := func(id string) bool {
+		h, now := s.peers.last(identity.Name(id))
+		return id == l.id || now && h.ID == id
+	}
+	if why := identity.MayJoin(j.ID, members, s.removedNames(), up, membersMost); why != "" {
+		return fmt.Errorf("%w: %s", ErrRefused, why)
+	}
+	s.log.Info("members change", zap.String("step", "learner"), zap.String("member", j.ID))
+	ctx, cancel := context.WithTimeout(ctx, storeapi.ApplyTime)
+	defer cancel()
+	return done(ctx, l.raft.AddNonvoter(raft.ServerID(j.ID), addressOf(p, j.ID), index, storeapi.ApplyTime))
+}
+
+func (s *Store) removedNames() (names []string) {
+	all, _ := s.state.all()
+	for key := range all {
+		if name, ok := strings.CutPrefix(key, kv.GonePart); ok {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Members is the leader's view, and what it does next.
+func (s *Store) Members(ctx context.Context) (out storeapi.Members, err error) {
+	l, err := s.alive()
+	if err != nil {
+		return out, err
+	}
+	if !l.leads() {
+		return out, ErrNoLeader
+	}
+	if _, err := s.Fresh(ctx, Freshness{}); err != nil {
+		return out, err
+	}
+	step, conf, index := s.look(l)
+	l.view.mu.Lock()
+	view := l.view.view
+	l.view.mu.Unlock()
+	out = storeapi.Members{Leader: s.self.Name, Index: index, Voters: s.cfg.policy().Voters, Removed: s.removedNames()}
+	for _, m := range view.Members {
+		x, _ := serverOf(conf, m.ID)
+		row := storeapi.Member{Name: identity.Name(m.ID), ID: m.ID, Zone: m.Zone, Role: m.Role.String(), Behind: m.Behind,
+			State: stateOf(m, l.id), Admin: peerOf(x.ID, x.Address).Admin}
+		if step.ID == m.ID {
+			row.Next, row.Why = step.Kind.String(), step.Why
+		}
+		out.Members = append(out.Members, row)
+	}
+	slices.SortFunc(out.Members, func(a, b storeapi.Member) int { return strings.Compare(a.ID, b.ID) })
+	return out, nil
+}
+
+func stateOf(m membership.Member, leader string) string {
+	switch {
+	case m.Lost:
+		return "lost"
+	case m.Leaving:
+		return "leaving"
+	case m.ID == leader:
+		return "leader"
+	case m.Up:
+		return "up"
+	}
+	return fmt.Sprintf("down %s", m.Down.Round(time.Second))
+}
+
+// RemoveMember has a node lose its vote and its place, and not be taken in again. The
+// wish is in the log: a leader that dies over it leaves it to the next.
+func (s *Store) RemoveMember(name string) error {
+	l, err := s.alive()
+	if err != nil {
+		return err
+	}
+	if !l.leads() {
+		return ErrNoLeader
+	}
+	conf, _ := l.conf()
+	members, voters := idsOf(conf)
+	has := func(list []string) bool {
+		return slices.ContainsFunc(list, func(id string) bool { return identity.Name(id) == name })
+	}
+	switch {
+	case !has(members):
+		return fmt.Errorf("%w: %s", ErrNoMember, name)
+	case has(voters) && len(voters) == 1:
+		return fmt.Errorf("%w: %s is the only voter", ErrRefused, name)
+	}
+	return s.wish(kv.GonePart+name, kv.VotePart+name)
+}
+
+// AddMember lets a node that was removed ask for a place again.
+func (s *Store) AddMember(name string) error {
+	if !nameForm.MatchString(name) {
+		return fmt.Errorf("%w: name: %q", kv.ErrRequest, name)
+	}
+	return s.wish("", kv.GonePart+name)
+}
+
+// PromoteMember has a node have a vote rather than one that nobody asked for.
+func (s *Store) PromoteMember(name string) error {
+	l, err := s.alive()
+	if err != nil {
+		return err
+	}
+	conf, _ := l.conf()
+	members, _ := idsOf(conf)
+	if !slices.ContainsFunc(members, func(id string) bool { return identity.Name(id) == name }) {
+		return fmt.Errorf("%w: %s", ErrNoMember, name)
+	}
+	wanted := 0
+	all, _ := s.state.all()
+	for key := range all {
+		if strings.HasPrefix(key, kv.VotePart) && key != kv.VotePart+name {
+			wanted++
+		}
+	}
+	if most := s.cfg.policy().Voters; wanted >= most {
+		return fmt.Errorf("%w: %d others are wanted as voters already, of %d", ErrRefused, wanted, most)
+	}
+	return s.wish(kv.VotePart+name, "")
+}
+
+// wish puts one key and deletes another.
+func (s *Store) wish(put, del string) error {
+	var r kv.Request
+	if put != "" {
+		text, _ := json.Marshal(time.Now().UTC().Format(time.RFC3339))
+		r.Then = append(r.Then, kv.Op{Do: "put", Key: put, Value: text})
+	}
+	if del != "" {
+		r.Then = append(r.Then, kv.Op{Do: "delete", Key: del})
+	}
+	_, err := s.Do(r)
+	return err
+}
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/raft"
 	_ "github.com/jackc/pgx/v5/stdlib" // driver "pgx"
 	"go.uber.org/zap"
 	_ "modernc.org/sqlite" // driver "sqlite"
@@ -85,7 +84,7 @@
 		case <-m.store.state.changed:
 		case <-time.After(wait):
 		}
-		if m.store.raft.State() != raft.Leader {
+		if !m.store.Leads() {
 			led = false
 			continue
 		}
@@ -160,7 +159,11 @@
 
 // takeOver takes keys from the database that the store has never heard of.
 func (m *mirror) takeOver(ctx context.Context) error {
-	if err := m.store.raft.Barrier(sqlTimeout).Error(); err != nil {
+	l, err := m.store.alive()
+	if err != nil {
+		return err
+	}
+	if err := done(ctx, l.raft.Barrier(sqlTimeout)); err != nil {
 		return fmt.Errorf("wait for the log: %w", err)
 	}
 	rows, err := m.db.QueryContext(ctx, selectRows)
@@ -168,7 +171,7 @@
 		return fmt.Errorf("read rows: %w", err)
 	}
 	defer rows.Close()
-	known, last := m.store.state.since(0), m.store.raft.LastIndex()
+	known, last := m.store.state.since(0), l.raft.LastIndex()
 	var missing []command
 	earlier := false
 	for rows.Next() {
@@ -196,5 +199,5 @@
 		return nil
 	}
 	m.store.log.Info("keys taken over from the store of record", zap.Int("keys", len(missing)))
-	return m.store.apply(missing...)
+	return m.store.apply(ctx, missing...)
 }
--- /dev/null
+++ b/internal/store/peers.go
@@ -0,0 +1,243 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"oxbowbridge/internal/identity"
+	"oxbowbridge/internal/storeapi"
+	"oxbowbridge/internal/storeclient"
+)
+
+const (
+	askEvery   = 200 * time.Millisecond
+	askTime    = 500 * time.Millisecond
+	heardTime  = 1500 * time.Millisecond // a node whose last answer is older is down
+	ledgerTime = time.Second             // between two writes of the ledger
+	ledgerMost = 256                     // disks in it
+)
+
+// heard is the last that a peer said.
+type heard struct {
+	storeapi.Self
+	at  time.Time // of the answer; zero if there was none
+	old bool      // of the version before, which says less
+	err error
+}
+
+// peers asks the other nodes, again and again, what they are: the leader decides on
+// members by it, each node keeps how far it has seen the others' disks, and a node that
+// starts learns whether its own is behind.
+type peers struct {
+	s      *Store
+	client *storeclient.Client
+	ctx    context.Context
+	asked  sync.WaitGroup
+
+	mu     sync.Mutex
+	asking map[string]Peer // by name; each has a goroutine
+	said   map[string]heard
+	seen   ledger
+	dirty  bool
+	news   chan struct{} // closed at the next answer
+}
+
+func newPeers(ctx context.Context, s *Store) *peers {
+	c := storeclient.New(nil)
+	c.HTTP = &http.Client{Timeout: askTime}
+	return &peers{s: s, client: c, ctx: ctx, asking: map[string]Peer{}, said: map[string]heard{}, seen: ledger{}, news: make(chan struct{})}
+}
+
+// follow asks whom the file and the configuration name. What the file says goes first.
+func (p *peers) follow(list []Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, x := range append(append([]Peer(nil), p.s.cfg.Peers...), list...) {
+		if x.Name == p.s.self.Name {
+			continue
+		}
+		if own, ok := p.s.cfg.peer(x.Name); ok {
+			x.Admin = own.Admin
+		}
+		was, known := p.asking[x.Name]
+		if x.Admin == "" || known && was.Admin == x.Admin || !known && len(p.asking) >= 2*membersMost {
+			continue
+		}
+		if p.asking[x.Name] = x; !known {
+			p.asked.Add(1)
+			go p.ask(x.Name)
+		}
+	}
+}
+
+// admin is where a node is asked.
+func (p *peers) admin(name string) (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x, ok := p.asking[name]
+	return x.Admin, ok
+}
+
+func (p *peers) ask(name string) {
+	defer p.asked.Done()
+	tick := time.NewTicker(askEvery)
+	defer tick.Stop()
+	for {
+		addr, _ := p.admin(name)
+		id := p.s.id()
+		self, old, err := p.one(addr, id)
+		p.take(name, id, self, old, err)
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// one asks a node for itself. One of the version before only tells its status.
+func (p *peers) one(addr, id string) (self storeapi.Self, old bool, err error) {
+	ctx, cancel := context.WithTimeout(p.ctx, askTime)
+	defer cancel()
+	err = p.client.One(ctx, addr, http.MethodGet, "/self?from="+url.QueryEscape(id), nil, &self)
+	var said *storeapi.StatusError
+	if !errors.As(err, &said) || said.Code != http.StatusNotFound {
+		return self, false, err
+	}
+	var st storeapi.Status
+	if err = p.client.One(ctx, addr, http.MethodGet, "/status", nil, &st); err != nil {
+		return self, true, err
+	}
+	self.ID, self.Cluster, self.State = st.Node, st.Cluster, stateServing
+	self.Mark.LastIndex, self.Applied = st.Last, st.Applied
+	return self, true, nil
+}
+
+func (p *peers) take(name, asker string, self storeapi.Self, old bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil || asker != p.s.id() { // what was said of another disk
+		h := p.said[name]
+		h.err = err
+		p.said[name] = h
+		return
+	}
+	if own := p.s.cluster.id(); own != "" && self.Cluster != "" && own != self.Cluster {
+		p.s.cluster.found(name, self.Cluster, p.s.log)
+	} else {
+		p.s.cluster.lost(name)
+		if disk := identity.Disk(self.ID); disk != "" {
+			was, known := p.seen[self.ID]
+			if now := was.Max(self.Mark); now != was && (known || len(p.seen) < ledgerMost) {
+				p.seen[self.ID], p.dirty = now, true
+			}
+		}
+	}
+	p.said[name] = heard{Self: self, at: time.Now(), old: old}
+	close(p.news)
+	p.news = make(chan struct{})
+}
+
+// forget drops what was said of a disk that this node no longer has.
+func (p *peers) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.said)
+}
+
+// last is what a node said last, and whether that was just now.
+func (p *peers) last(name string) (h heard, now bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h = p.said[name]
+	return h, !h.at.IsZero() && time.Since(h.at) < heardTime
+}
+
+// words are the answers that count at a start.
+func (p *peers) words() (words map[string]identity.Word, news <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	words = map[string]identity.Word{}
+	for name, h := range p.said {
+		if !h.at.IsZero() && !h.old && time.Since(h.at) < heardTime {
+			words[name] = h.Word
+		}
+	}
+	return words, p.news
+}
+
+// of is the most that was seen of a disk.
+func (p *peers) of(id string) *identity.Mark {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m, ok := p.seen[id]; ok {
+		return &m
+	}
+	return nil
+}
+
+// keep writes the ledger to this node's disk, if it changed.
+func (p *peers) keep(l *life) {
+	p.mu.Lock()
+	var text []byte
+	if p.dirty {
+		text, _ = json.Marshal(p.seen) // numbers under names
+		p.dirty = false
+	}
+	p.mu.Unlock()
+	if text == nil {
+		return
+	}
+	if err := l.disk.KeepSoon(keptSeen, text); err != nil {
+		p.s.log.Warn("marks of other disks not kept", zap.Error(err))
+	}
+}
+
+// load takes what this node's disk remembers of others.
+func (p *peers) load(l ledger) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, m := range l {
+		p.seen[id] = p.seen[id].Max(m)
+	}
+}
+
+// join asks the cluster for a place, at each node that serves until one says yes.
+func (p *peers) join(ctx context.Context, l *life) error {
+	ask := storeapi.Join{ID: l.id, Raft: p.s.self.Raft, Admin: p.s.self.Admin, Zone: p.s.self.Zone}
+	text, err := json.Marshal(ask)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	var addrs []string
+	for name, h := range p.said {
+		if h.State == stateServing && time.Since(h.at) < heardTime {
+			addrs = append(addrs, p.asking[name].Admin)
+		}
+	}
+	p.mu.Unlock()
+	var refused []string
+	for _, addr := range addrs {
+		one, cancel := context.WithTimeout(ctx, storeapi.ApplyTime)
+		err := p.client.Patient().One(one, addr, http.MethodPost, "/members", text, nil)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		refused = append(refused, err.Error())
+	}
+	if len(refused) == 0 {
+		return errors.New("no node of the cluster serves")
+	}
+	return fmt.Errorf("not taken in: %s", strings.Join(refused, "; "))
+}
--- a/internal/store/state.go
+++ b/internal/store/state.go
@@ -14,8 +14,6 @@
 	"oxbowbridge/internal/watch"
 )
 
-const valueMost = kv.ValueBytes
-
 // What is kept for those who watch.
 var historyLimits = watch.Limits{Revisions: 4096, Bytes: 8 << 20}
 
@@ -75,6 +73,15 @@
 	return &state{kv: kv.New(), history: watch.New(historyLimits, 0), changed: make(chan struct{}, 1), moved: make(chan struct{})}
 }
 
+// reset empties it: a log is about to be read again from its beginning.
+func (s *state) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kv = kv.New()
+	s.history.Reset(0)
+	s.advance()
+}
+
 // progress is the last command that the state has, and a channel that is closed once
 // it has another.
 func (s *state) progress() (applied uint64, moved <-chan struct{}) {
@@ -95,6 +102,13 @@
 	s.mu.Unlock()
 }
 
+// bytes of all values.
+func (s *state) bytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.kv.Bytes()
+}
+
 func (s *state) get(key string) (entry, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -111,7 +125,7 @@
 	return out
 }
 
-// follow gives the revisions from a position on, the position to go on from, and a
+// Follow gives the revisions from a position on, the position to go on from, and a
 // channel that is closed once there is more.
 func (s *state) follow(from uint64, prefix string, p watch.Page) (list []watch.Revision, next uint64, more <-chan struct{}, err error) {
 	s.mu.Lock()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,6 +1,7 @@
-// Package store is the small replicated store of the service's configuration
-// and administrative state: Raft between the nodes, and a SQL database as store
-// of record. It is never on the path of a request.
+// Package store is a node of the small replicated store of the service's configuration
+// and administrative state: Raft between the nodes, and a SQL database as store of
+// record. It is never on the path of a request. Its admin port is internal/storeadmin,
+// the client of that internal/storeclient.
 package store
 
 import (
@@ -8,175 +9,147 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
-	"os"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapio"
 
 	"oxbowbridge/internal/durable"
+	"oxbowbridge/internal/identity"
 	"oxbowbridge/internal/kv"
 	"oxbowbridge/internal/raftdisk"
-)
-
-const (
-	applyTimeout   = 3 * time.Second
-	electionTime   = 500 * time.Millisecond
-	snapshotAfter  = 1024 // log entries
-	transportConns = 3
-	transportTime  = 2 * time.Second
+	"oxbowbridge/internal/storeapi"
+	"oxbowbridge/internal/watch"
 )
 
 // CloseTime is how long Close takes at most.
 const CloseTime = time.Second
 
-// Peer is one node of the store.
-type Peer struct {
-	Name  string `json:"name"`
-	Raft  string `json:"raft"`  // where the nodes talk to each other
-	Admin string `json:"admin"` // where operators talk to it
-}
+const reopenEvery = time.Second // a disk that failed is tried again so often
 
-// Config sets a node up. All nodes have the same peers.
-type Config struct {
-	Node  string `json:"node"`
-	Dir   string `json:"dir"`
-	Peers []Peer `json:"peers"`
-	SQL   struct {
-		Driver string `json:"driver"` // "sqlite", "postgres", or "" for no store of record
-		DSN    string `json:"dsn"`
-	} `json:"sql"`
-}
+// What a node does, for Self.State.
+const (
+	stateServing = "serving" // Raft runs
+	stateWaiting = "waiting" // for others, or for the disk
+)
 
-// Check names the field at fault.
-func (c *Config) Check() error {
-	if c.Dir == "" {
-		return errors.New("dir: missing")
-	}
-	if _, ok := c.self(); !ok {
-		return fmt.Errorf("node: %q is not among the peers", c.Node)
-	}
-	for i, p := range c.Peers {
-		for field, addr := range map[string]string{"raft": p.Raft, "admin": p.Admin} {
-			host, _, err := net.SplitHostPort(addr)
-			if err != nil {
-				return fmt.Errorf("peers.%d.%s: %w", i, field, err)
-			}
-			// Neither port asks who is there.
-			if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
-				return fmt.Errorf("peers.%d.%s: %s is not a loopback address", i, field, addr)
-			}
-		}
-	}
-	if _, ok := drivers[c.SQL.Driver]; !ok && c.SQL.Driver != "" {
-		return fmt.Errorf("sql.driver: %q is neither sqlite nor postgres", c.SQL.Driver)
-	}
-	return nil
-}
+// ErrNoLeader means that no leader is known, or that this node is none.
+var ErrNoLeader = errors.New("no leader is known")
 
-func (c *Config) self() (Peer, bool) {
-	for _, p := range c.Peers {
-		if p.Name == c.Node {
-			return p, true
-		}
-	}
-	return Peer{}, false
-}
+// ErrNotServing means that this node takes no part yet, or not any more.
+var ErrNotServing = errors.New("this node takes no part in the store")
 
-// Store is one running node.
+// Store is one node.
 type Store struct {
 	cfg    Config
 	self   Peer
 	log    *zap.Logger
-	raft   *raft.Raft
 	state  *state
 	mirror *mirror
-	admin  *admin
-	disk   *raftdisk.Disk
-	close  []func()
+	peers  *peers
+	prover *prover
+	writes writes
+
+	openFolder func(dir string) (*raftdisk.Disk, *durable.Report, error)
+
+	ctx    context.Context
+	stop   context.CancelFunc
+	ended  chan struct{}
+	closed []func()
+
+	now     atomic.Pointer[life]
+	waits   atomic.Pointer[string] // for what, while there is no life
+	started atomic.Pointer[folder] // what it found on its disk at the start of this life
 
-	prover  *prover
-	barred  atomic.Uint64 // the term in which this node, as leader, has committed an entry
 	knownMu sync.Mutex
 	knownAt time.Time
-	cluster identity
+	cluster cluster
 }
 
-// Open starts a node. It finds the others by itself, and what it missed.
-func Open(cfg Config, log *zap.Logger) (*Store, error) {
+// New makes a node that does nothing yet.
+func New(cfg Config, log *zap.Logger) (*Store, error) {
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	s := &Store{cfg: cfg, log: log, state: newState()}
+	s := &Store{cfg: cfg, log: log, state: newState(), openFolder: openFolder, ended: make(chan struct{})}
 	s.self, _ = cfg.self()
+	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.prover = &prover{ask: s.committed}
-	if err := s.open(); err != nil {
-		s.Close()
-		return nil, err
-	}
+	s.peers = newPeers(s.ctx, s)
+	first := "its disk to be opened"
+	s.waits.Store(&first)
 	return s, nil
 }
 
-func (s *Store) open() error {
-	if err := os.MkdirAll(s.cfg.Dir, 0o750); err != nil {
-		return fmt.Errorf("dir: %w", err)
-	}
-	out := &zapio.Writer{Log: s.log.Named("raft"), Level: zap.InfoLevel}
-	rc := raft.DefaultConfig()
-	rc.LocalID = raft.ServerID(s.self.Name)
-	rc.HeartbeatTimeout, rc.ElectionTimeout, rc.LeaderLeaseTimeout = electionTime, electionTime, electionTime
-	rc.SnapshotThreshold = snapshotAfter
-	rc.Logger = hclog.New(&hclog.LoggerOptions{Level: hclog.Error, Output: out, DisableTime: true})
-	disk, report, err := raftdisk.Open(s.cfg.Dir)
+// Start opens the folder, and has the node take part as soon as it may.
+func (s *Store) Start() error {
+	disk, err := s.openDisk()
 	if err != nil {
-		return fmt.Errorf("dir: %w", err)
-	}
-	s.disk = disk
-	s.close = append(s.close, func() { disk.Close() })
-	if report.Loss == durable.TailLoss {
-		s.log.Info("unsynced tail of the log cut off", zap.Int64("bytes", report.CutBytes))
-	}
-	if err := s.readIdentity(); err != nil {
+		close(s.ended)
 		return err
 	}
-	ln, err := net.Listen("tcp", s.self.Raft)
-	if err != nil {
-		return fmt.Errorf("raft address: %w", err)
-	}
-	transport := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: &peerStream{ln, s},
-		MaxPool: transportConns, Timeout: transportTime, Logger: rc.Logger})
-	s.close = append(s.close, func() { transport.Close() })
-	had, err := raft.HasExistingState(disk, disk, disk)
-	if err != nil {
-		return fmt.Errorf("read log: %w", err)
+	s.peers.follow(nil)
+	if s.cfg.SQL.Driver != "" {
+		s.mirror = startMirror(s)
+		s.closed = append(s.closed, s.mirror.close)
 	}
-	if !had { // all nodes start from the same list, so each may do so alone
-		var servers []raft.Server
-		for _, p := range s.cfg.Peers {
-			servers = append(servers, raft.Server{ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Raft)})
+	go s.run(disk)
+	return nil
+}
+
+// AdminAddress is where the node's admin port has to listen.
+func (s *Store) AdminAddress() string { return s.self.Admin }
+
+// Name of this node.
+func (s *Store) Name() string { return s.self.Name }
+
+// Log is the node's.
+func (s *Store) Log() *zap.Logger { return s.log }
+
+// OnClose has a function called, the last first, when the node ends.
+func (s *Store) OnClose(do func()) { s.closed = append(s.closed, do) }
+
+// run goes from life to life: one ends when the disk fails, or when this node is no
+// member any more.
+func (s *Store) run(disk *raftdisk.Disk) {
+	defer close(s.ended)
+	for s.ctx.Err() == nil {
+		if err := s.live(disk); err != nil && s.ctx.Err() == nil {
+			s.log.Error("this node gave up its vote and what it led", zap.Error(err))
+			s.waiting(err.Error())
 		}
-		if err := raft.BootstrapCluster(rc, disk, disk, disk, transport, raft.Configuration{Servers: servers}); err != nil {
-			return fmt.Errorf("first start: %w", err)
+		for disk = nil; disk == nil && s.ctx.Err() == nil; {
+			var err error
+			if disk, err = s.openDisk(); err != nil {
+				s.waiting(fmt.Sprintf("its disk: %v", err))
+				select {
+				case <-s.ctx.Done():
+				case <-time.After(reopenEvery):
+				}
+			}
 		}
 	}
-	if s.raft, err = raft.NewRaft(rc, s.state, disk, disk, disk, transport); err != nil {
-		return fmt.Errorf("start raft: %w", err)
+	if disk != nil {
+		disk.Close()
 	}
-	s.close = append(s.close, func() { s.raft.Shutdown().Error() })
-	if s.admin, err = serveAdmin(s); err != nil {
-		return err
+}
+
+// waiting says what a node without a life waits for, once.
+func (s *Store) waiting(why string) {
+	if old := s.waits.Swap(&why); old == nil || *old != why {
+		s.log.Warn("store waits", zap.String("for", why))
 	}
-	s.close = append(s.close, s.admin.close, s.keepIdentity())
-	if s.cfg.SQL.Driver != "" {
-		s.mirror = startMirror(s)
-		s.close = append(s.close, s.mirror.close)
+}
+
+// Waits is what keeps this node from taking part, or "".
+func (s *Store) Waits() string {
+	if s.now.Load() != nil {
+		return ""
 	}
-	return nil
+	return *s.waits.Load()
 }
 
 // Close stops the node, waiting CloseTime at most: what is committed is on disk.
@@ -184,9 +157,12 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for i := len(s.close) - 1; i >= 0; i-- {
-			s.close[i]()
+		for i := len(s.closed) - 1; i >= 0; i-- {
+			s.closed[i]()
 		}
+		s.stop()
+		<-s.ended
+		s.peers.asked.Wait()
 	}()
 	select {
 	case <-done:
@@ -195,6 +171,103 @@
 	}
 }
 
+// alive is the node's life, if it takes part.
+func (s *Store) alive() (*life, error) {
+	if l := s.now.Load(); l != nil {
+		return l, nil
+	}
+	return nil, fmt.Errorf("%w: it waits for %s", ErrNotServing, *s.waits.Load())
+}
+
+// id is this node's name and disk; only the name while it has none.
+func (s *Store) id() string {
+	if f := s.started.Load(); f != nil {
+		return f.own.ID
+	}
+	return s.self.Name
+}
+
+// Leads tells whether this node takes itself for the leader.
+func (s *Store) Leads() bool {
+	l := s.now.Load()
+	return l != nil && l.leads()
+}
+
+// Leader is the leader as this node knows it, with its id.
+func (s *Store) Leader() (p Peer, id string, ok bool) {
+	l := s.now.Load()
+	if l == nil {
+		return Peer{}, "", false
+	}
+	_, lead := l.raft.LeaderWithID()
+	if lead == "" {
+		return Peer{}, "", false
+	}
+	return s.where(l, string(lead)), string(lead), true
+}
+
+// where is how this node reaches a member.
+func (s *Store) where(l *life, id string) Peer {
+	name := identity.Name(id)
+	if name == s.self.Name {
+		return s.self
+	}
+	p := Peer{Name: name}
+	conf, _ := l.conf()
+	if x, ok := serverOf(conf, id); ok {
+		p = peerOf(x.ID, x.Address)
+	}
+	if own, ok := s.cfg.peer(name); ok { // the file goes first
+		p.Raft, p.Admin = own.Raft, own.Admin
+	}
+	return p
+}
+
+// Status is what the node tells of itself.
+func (s *Store) Status() storeapi.Status {
+	st := storeapi.Status{Node: s.self.Name, Cluster: s.cluster.id(), Foreign: s.cluster.foreign(), ID: s.id()}
+	if l := s.now.Load(); l != nil {
+		st.State, st.Applied, st.Last = l.raft.State().String(), l.raft.AppliedIndex(), l.raft.LastIndex()
+		if !l.member() {
+			st.State, st.Waits = "Joining", l.why()
+		}
+		if p, _, ok := s.Leader(); ok {
+			st.Leader = p.Name
+		}
+	} else {
+		st.State, st.Waits = "Waiting", s.Waits()
+	}
+	if s.mirror != nil {
+		st.Mirrored, st.SQLError = s.mirror.progress()
+	}
+	return st
+}
+
+// Self is what the node tells another one, which has the id.
+func (s *Store) Self(asker string) storeapi.Self {
+	out := storeapi.Self{State: stateWaiting, Raft: s.self.Raft, Admin: s.self.Admin, Zone: s.self.Zone}
+	out.ID, out.Cluster = s.id(), s.cluster.id()
+	f := s.started.Load()
+	if f == nil {
+		return out
+	}
+	own := f.own
+	out.Mark, out.Fresh = own.Mark, own.Fresh
+	out.Config, out.Members, out.Voters = own.Config, own.Members, own.Voters
+	if l := s.now.Load(); l != nil {
+		out.State, out.Applied = stateServing, l.raft.AppliedIndex()
+		if m, err := l.disk.Mark(); err == nil {
+			out.Mark = m.Max(own.Mark)
+		}
+		conf, index := l.conf()
+		out.Config = index
+		out.Members, out.Voters = idsOf(conf)
+		out.Fresh = own.Fresh && out.Mark.LastIndex == 0
+	}
+	out.Seen = s.peers.of(asker)
+	return out
+}
+
 // Good is a version of a key that the service has used.
 type Good struct {
 	Revision uint64          `json:"revision"`
@@ -204,9 +277,13 @@
 // Keep remembers on this node's own disk which version of a key is good, for a start
 // at which the other nodes are away.
 func (s *Store) Keep(key string, g Good) error {
+	l, err := s.alive()
+	if err != nil {
+		return err
+	}
 	text, err := json.Marshal(g)
 	if err == nil {
-		err = s.disk.Keep(key, text)
+		err = l.disk.Keep(key, text)
 	}
 	if err != nil {
 		return fmt.Errorf("keep %s: %w", key, err)
@@ -214,9 +291,13 @@
 	return nil
 }
 
-// LastGood is what Keep was last given.
+// LastGood is what Keep was last given. It can be had before the node takes part.
 func (s *Store) LastGood(key string) (g Good, found bool, err error) {
-	text, err := s.disk.Kept(key)
+	f := s.started.Load()
+	if f == nil {
+		return g, false, nil
+	}
+	text, err := f.disk.Kept(key)
 	if err != nil || text == nil {
 		return g, false, err
 	}
@@ -231,6 +312,21 @@
 // Entry is a key with its revision, as this node knows it.
 func (s *Store) Entry(key string) (kv.Entry, bool) { return s.state.get(key) }
 
+// All is every key, and the revision at which they were so, as this node knows them.
+func (s *Store) All() (map[string]kv.Entry, uint64) { return s.state.all() }
+
+// Follow gives the revisions from a position on, the position to go on from, and a
+// channel that is closed once there is more.
+func (s *Store) Follow(from uint64, prefix string, p watch.Page) (list []watch.Revision, next uint64, more <-chan struct{}, err error) {
+	return s.state.follow(from, prefix, p)
+}
+
+// Progress is the last revision that this node knows.
+func (s *Store) Progress() uint64 {
+	applied, _ := s.state.progress()
+	return applied
+}
+
 // Get reads a key as this node knows it, however old that is.
 func (s *Store) Get(key string) (json.RawMessage, bool) {
 	e, ok := s.state.get(key)
@@ -241,7 +337,7 @@
 // reports whether it does.
 func (s *Store) Caught(ctx context.Context) bool {
 	for {
-		if _, err := s.fresh(ctx, Freshness{}); err == nil {
+		if _, err := s.Fresh(ctx, Freshness{}); err == nil {
 			return true
 		}
 		select {
@@ -252,67 +348,8 @@
 	}
 }
 
-// committed asks whoever leads for its read index.
-func (s *Store) committed(ctx context.Context) (uint64, error) {
-	if s.raft.State() == raft.Leader {
-		return s.readIndex()
-	}
-	return s.admin.indexOfLeader(ctx)
-}
-
-// Set writes a key; a nil value deletes it. It is done when most nodes have it.
-func (s *Store) Set(ctx context.Context, key string, value json.RawMessage) error {
-	if s.raft.State() != raft.Leader {
-		return s.admin.forward(ctx, key, value)
-	}
-	return s.apply(command{Key: key, Value: value})
-}
+// openFolder opens a real one.
+func openFolder(dir string) (*raftdisk.Disk, *durable.Report, error) { return raftdisk.Open(dir) }
 
-func (s *Store) apply(list ...command) error {
-	if err := requestFor(list).Check(); err != nil {
-		return err
-	}
-	text, err := json.Marshal(list)
-	if err != nil {
-		return fmt.Errorf("encode commands: %w", err)
-	}
-	_, err = s.propose(text)
-	return err
-}
-
-// Do carries a request out; only the leader can. An error that is none of kv's leaves
-// open whether it was, or will be: repeated in its session, it takes effect once.
-func (s *Store) Do(r kv.Request) (kv.Answer, error) {
-	if err := errors.Join(r.CheckLength(), r.Check()); err != nil {
-		return kv.Answer{}, err
-	}
-	if s.raft.State() != raft.Leader {
-		return kv.Answer{}, errNoLeader
-	}
-	r.TimeMS = time.Now().UnixMilli()
-	text, err := json.Marshal(r)
-	if err != nil {
-		return kv.Answer{}, fmt.Errorf("encode request: %w", err)
-	}
-	return s.propose(text)
-}
-
-func (s *Store) propose(text []byte) (kv.Answer, error) {
-	f := s.raft.Apply(text, applyTimeout)
-	if err := f.Error(); err != nil {
-		return kv.Answer{}, fmt.Errorf("commit: %w", err)
-	}
-	out := f.Response().(outcome)
-	return out.answer, out.err
-}
-
-// leader is the admin address of the leader as this node knows it.
-func (s *Store) leader() (Peer, bool) {
-	_, id := s.raft.LeaderWithID()
-	for _, p := range s.cfg.Peers {
-		if p.Name == string(id) {
-			return p, true
-		}
-	}
-	return Peer{}, false
-}
+var _ io.Closer = (*wire)(nil)
+var _ raft.StreamLayer = (*wire)(nil)
--- /dev/null
+++ b/internal/store/write.go
@@ -0,0 +1,137 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/storeapi"
+)
+
+// What a node holds of writes that are not committed yet.
+const (
+	proposedMost  = 512     // of the leader
+	proposedBytes = 8 << 20 // of them
+	// TotalBytes is what all keys and values may come to. The leader sees to it; the
+	// state itself takes what is in the log.
+	TotalBytes = 32 << 20
+)
+
+// ErrBusy means that too many writes are waiting; nothing was done.
+var ErrBusy = errors.New("too many writes are waiting")
+
+// writes counts what this node, as leader, has proposed and not heard of again.
+type writes struct {
+	mu    sync.Mutex
+	count int
+	bytes int
+}
+
+func (w *writes) begin(n, stored int) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.count >= proposedMost || w.bytes+n > proposedBytes:
+		return fmt.Errorf("%w: %d of %d bytes", ErrBusy, w.count, w.bytes)
+	case n > 0 && stored+w.bytes+n > TotalBytes:
+		return fmt.Errorf("%w: %d bytes, at most %d", kv.ErrFull, stored, TotalBytes)
+	}
+	w.count++
+	w.bytes += n
+	return nil
+}
+
+func (w *writes) end(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.count--
+	w.bytes -= n
+}
+
+// Set writes a key; a nil value deletes it. It is done when most nodes have it.
+func (s *Store) Set(ctx context.Context, key string, value json.RawMessage) error {
+	if s.Leads() {
+		return s.apply(ctx, command{Key: key, Value: value})
+	}
+	p, _, ok := s.Leader()
+	if !ok || p.Name == s.self.Name {
+		return ErrNoLeader
+	}
+	method := http.MethodPut
+	if value == nil {
+		method = http.MethodDelete
+	}
+	return s.peers.client.Patient().One(ctx, p.Admin, method, "/store/"+key, value, nil)
+}
+
+func (s *Store) apply(ctx context.Context, list ...command) error {
+	if err := requestFor(list).Check(); err != nil {
+		return err
+	}
+	text, err := json.Marshal(list)
+	if err != nil {
+		return fmt.Errorf("encode commands: %w", err)
+	}
+	_, err = s.propose(ctx, text, sizeOf(requestFor(list)))
+	return err
+}
+
+// Do carries a request out; only the leader can. An error that is none of kv's leaves
+// open whether it was, or will be: repeated in its session, it takes effect once.
+func (s *Store) Do(r kv.Request) (kv.Answer, error) {
+	if err := errors.Join(r.CheckLength(), r.Check()); err != nil {
+		return kv.Answer{}, err
+	}
+	if !s.Leads() {
+		return kv.Answer{}, ErrNoLeader
+	}
+	r.TimeMS = time.Now().UnixMilli()
+	text, err := json.Marshal(r)
+	if err != nil {
+		return kv.Answer{}, fmt.Errorf("encode request: %w", err)
+	}
+	return s.propose(s.ctx, text, sizeOf(&r))
+}
+
+// sizeOf is what a request may add to the store.
+func sizeOf(r *kv.Request) int {
+	then, other := 0, 0
+	for _, o := range r.Then {
+		then += len(o.Value)
+	}
+	for _, o := range r.Else {
+		other += len(o.Value)
+	}
+	return max(then, other)
+}
+
+func (s *Store) propose(ctx context.Context, text []byte, size int) (kv.Answer, error) {
+	l, err := s.alive()
+	if err != nil {
+		return kv.Answer{}, err
+	}
+	stored := 0
+	if size > 0 { // deletes make room
+		stored = s.state.bytes()
+	}
+	if err := s.writes.begin(size, stored); err != nil {
+		return kv.Answer{}, err
+	}
+	defer s.writes.end(size)
+	ctx, cancel := context.WithTimeout(ctx, storeapi.ApplyTime+time.Second)
+	defer cancel()
+	f := l.raft.Apply(text, storeapi.ApplyTime)
+	if err := done(ctx, f); err != nil {
+		return kv.Answer{}, fmt.Errorf("commit: %w", err)
+	}
+	out, ok := f.Response().(outcome)
+	if !ok {
+		return kv.Answer{}, errors.New("commit: no answer")
+	}
+	return out.answer, out.err
+}
--- /dev/null
+++ b/internal/storeadmin/members.go
@@ -0,0 +1,69 @@
+package storeadmin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/storeapi"
+)
+
+const joinMost = 4 << 10 // bytes of a request for a place
+
+// members answers with the members as the leader sees them.
+func (a *admin) members(w http.ResponseWriter, r *http.Request) {
+	if a.passOn(w, r, nil, true) {
+		return
+	}
+	out, err := a.store.Members(r.Context())
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	storeapi.Answer(w, out)
+}
+
+// join takes a node in as a learner.
+func (a *admin) join(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, joinMost))
+	var j storeapi.Join
+	if err == nil {
+		d := json.NewDecoder(bytes.NewReader(text))
+		d.DisallowUnknownFields()
+		err = d.Decode(&j)
+	}
+	if err != nil {
+		fail(w, fmt.Errorf("%w: %w", kv.ErrRequest, err))
+		return
+	}
+	if a.passOn(w, r, text, true) {
+		return
+	}
+	if err := a.store.Join(r.Context(), j); err != nil {
+		fail(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// changeMember removes a member, lets it in again, or gives it a vote.
+func (a *admin) changeMember(w http.ResponseWriter, r *http.Request) {
+	if a.passOn(w, r, nil, true) {
+		return
+	}
+	do := a.store.PromoteMember
+	switch r.Method {
+	case http.MethodDelete:
+		do = a.store.RemoveMember
+	case http.MethodPut:
+		do = a.store.AddMember
+	}
+	if err := do(r.PathValue("name")); err != nil {
+		fail(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/store/txn.go
+++ b/internal/storeadmin/write.go
@@ -1,4 +1,4 @@
-package store
+package storeadmin
 
 import (
 	"bytes"
@@ -11,19 +11,13 @@
 	"strconv"
 	"strings"
 
-	"github.com/hashicorp/raft"
-
 	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/store"
+	"oxbowbridge/internal/storeapi"
 )
 
 const txnMost = 1 << 20 // bytes of a transaction's text
 
-// The fields of requests that belong to a session.
-const (
-	headSession = "Session"
-	headNumber  = "Request-Number"
-)
-
 // fail answers with what an error means to the caller.
 func fail(w http.ResponseWriter, err error) {
 	switch {
@@ -31,6 +25,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	case errors.Is(err, kv.ErrSession):
 		http.Error(w, err.Error(), http.StatusGone)
+	case errors.Is(err, store.ErrRefused):
+		http.Error(w, err.Error(), http.StatusForbidden)
+	case errors.Is(err, store.ErrNoMember):
+		http.Error(w, err.Error(), http.StatusNotFound)
 	case errors.Is(err, kv.ErrNumber):
 		http.Error(w, err.Error(), http.StatusConflict)
 	case errors.Is(err, kv.ErrFull):
@@ -40,22 +38,9 @@
 	}
 }
 
-// tagOf is a revision as an entity tag.
-func tagOf(revision uint64) string { return strconv.Quote(strconv.FormatUint(revision, 10)) }
-
-func parseTag(text string) (uint64, error) {
-	inner, ok := strings.CutPrefix(text, `"`)
-	inner, ok2 := strings.CutSuffix(inner, `"`)
-	n, err := strconv.ParseUint(inner, 10, 64)
-	if !ok || !ok2 || err != nil || n == 0 {
-		return 0, fmt.Errorf("%w: %q is no tag of a revision", kv.ErrRequest, text)
-	}
-	return n, nil
-}
-
 func conditional(r *http.Request) bool {
 	h := r.Header
-	return h.Get("If-Match") != "" || h.Get("If-None-Match") != "" || h.Get(headSession) != "" || h.Get(headNumber) != ""
+	return h.Get("If-Match") != "" || h.Get("If-None-Match") != "" || h.Get(storeapi.HeadSession) != "" || h.Get(storeapi.HeadNumber) != ""
 }
 
 // requestFrom reads the conditions and the session of a PUT or DELETE.
@@ -63,7 +48,7 @@
 	key := r.PathValue("key")
 	if tag := r.Header.Get("If-Match"); tag != "" {
 		c := kv.Compare{Key: key}
-		if c.Revision, err = parseTag(tag); err != nil {
+		if c.Revision, err = storeapi.ParseTag(tag); err != nil {
 			return q, err
 		}
 		q.If = append(q.If, c)
@@ -74,7 +59,7 @@
 		}
 		q.If = append(q.If, kv.Compare{Key: key})
 	}
-	for field, to := range map[string]*uint64{headSession: &q.Session, headNumber: &q.Number} {
+	for field, to := range map[string]*uint64{storeapi.HeadSession: &q.Session, storeapi.HeadNumber: &q.Number} {
 		if text := r.Header.Get(field); text != "" {
 			if *to, err = strconv.ParseUint(text, 10, 64); err != nil {
 				return q, fmt.Errorf("%w: %s: %q is no number", kv.ErrRequest, field, text)
@@ -95,7 +80,7 @@
 		fail(w, err)
 		return
 	}
-	if a.passOn(w, r, bytes.NewReader(value), a.client) {
+	if a.passOn(w, r, value, q.Session != 0) {
 		return
 	}
 	got, err := a.store.Do(q)
@@ -106,7 +91,7 @@
 		http.Error(w, "the key has another revision", http.StatusPreconditionFailed)
 	default:
 		if n := got.Results[0].Revision; n != 0 {
-			w.Header().Set("ETag", tagOf(n))
+			w.Header().Set("ETag", storeapi.Tag(n))
 		}
 		w.WriteHeader(http.StatusNoContent)
 	}
@@ -114,7 +99,7 @@
 
 // session opens one.
 func (a *admin) session(w http.ResponseWriter, r *http.Request) {
-	if !a.passOn(w, r, http.NoBody, a.client) {
+	if !a.passOn(w, r, nil, true) {
 		a.do(w, kv.Request{Open: true})
 	}
 }
@@ -143,7 +128,7 @@
 			return
 		}
 	}
-	if !a.passOn(w, r, bytes.NewReader(text), a.client) {
+	if !a.passOn(w, r, text, q.Session != 0) {
 		a.do(w, q)
 	}
 }
@@ -162,26 +147,5 @@
 		fail(w, err)
 		return
 	}
-	answer(w, got)
-}
-
-// passOn has the leader answer, if that is another node.
-func (a *admin) passOn(w http.ResponseWriter, r *http.Request, body io.Reader, by *http.Client) bool {
-	if a.store.raft.State() == raft.Leader {
-		return false
-	}
-	if r.Header.Get("Forwarded") != "" { // guards against two nodes that take each other for the leader
-		unavailable(w, errNoLeader)
-		return true
-	}
-	res, err := a.send(r.Context(), r.Method, r.URL.EscapedPath(), body, r.Header, by)
-	if err != nil {
-		unavailable(w, err)
-		return true
-	}
-	defer res.Body.Close()
-	copyFields(w.Header(), res.Header, "ETag", "Retry-After", "Content-Type")
-	w.WriteHeader(res.StatusCode)
-	io.Copy(w, io.LimitReader(res.Body, kv.Ops*2*kv.ValueBytes))
-	return true
+	storeapi.Answer(w, got)
 }
--- a/internal/store/client.go
+++ b/internal/storeclient/client.go
@@ -1,4 +1,5 @@
-package store
+// Package storeclient speaks to the admin ports of a replicated store.
+package storeclient
 
 import (
 	"bytes"
@@ -14,6 +15,7 @@
 
 	"oxbowbridge/internal/backup"
 	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/storeapi"
 )
 
 // Client speaks to the admin ports of a store: to any of them, until one answers. In
@@ -50,14 +52,6 @@
 	return d/2 + time.Duration(u*float64(d/2))
 }
 
-// StatusError is an answer that is none of the store's good ones.
-type StatusError struct {
-	Code int
-	Text string
-}
-
-func (e *StatusError) Error() string { return fmt.Sprintf("%s (%d)", e.Text, e.Code) }
-
 const answerMost = backup.Most + 1<<20
 
 var errNoNode = errors.New("no node is known")
@@ -65,13 +59,9 @@
 // ErrNoKey means that a key is not there.
 var ErrNoKey = errors.New("no such key")
 
-func statusError(code int, text []byte) error {
-	return &StatusError{code, string(bytes.TrimSpace(text))}
-}
-
-// NewClient makes one for some nodes.
-func NewClient(nodes []string) *Client {
-	return &Client{Nodes: nodes, HTTP: &http.Client{Timeout: 2 * applyTimeout}, Budget: defaultBudget()}
+// New makes one for some nodes.
+func New(nodes []string) *Client {
+	return &Client{Nodes: nodes, HTTP: &http.Client{Timeout: 2 * storeapi.ApplyTime}, Budget: defaultBudget()}
 }
 
 // do asks one node after the other until one gives a final answer. What it asks may
@@ -101,7 +91,7 @@
 			continue
 		}
 		if c.cluster == "" {
-			c.cluster = res.Header.Get(headCluster)
+			c.cluster = res.Header.Get(storeapi.HeadCluster)
 		}
 		text, err := io.ReadAll(io.LimitReader(res.Body, answerMost))
 		res.Body.Close()
@@ -109,7 +99,7 @@
 			return res, text, nil
 		}
 		if last = err; err == nil {
-			last = statusError(res.StatusCode, text)
+			last = storeapi.Refused(res.StatusCode, text)
 		}
 	}
 	return nil, nil, fmt.Errorf("no node answered in %d attempts: %w", c.Budget.Attempts+1, last)
@@ -118,7 +108,7 @@
 // ofCluster has a node of another cluster refuse a request.
 func (c *Client) ofCluster(req *http.Request) {
 	if c.cluster != "" {
-		req.Header.Set(headCluster, c.cluster)
+		req.Header.Set(storeapi.HeadCluster, c.cluster)
 	}
 }
 
@@ -128,7 +118,10 @@
 		return err
 	}
 	if res.StatusCode >= 300 {
-		return statusError(res.StatusCode, text)
+		return storeapi.Refused(res.StatusCode, text)
+	}
+	if to == nil {
+		return nil
 	}
 	if err := json.Unmarshal(text, to); err != nil {
 		return fmt.Errorf("answer can't be read: %w", err)
@@ -145,9 +138,9 @@
 	case res.StatusCode == http.StatusNotFound:
 		return nil, 0, fmt.Errorf("%w: %s", ErrNoKey, key)
 	case res.StatusCode != http.StatusOK:
-		return nil, 0, statusError(res.StatusCode, text)
+		return nil, 0, storeapi.Refused(res.StatusCode, text)
 	}
-	revision, err = parseTag(res.Header.Get("ETag"))
+	revision, err = storeapi.ParseTag(res.Header.Get("ETag"))
 	return bytes.TrimSpace(text), revision, err
 }
 
@@ -159,12 +152,12 @@
 	case err != nil:
 		return nil, 0, err
 	case res.StatusCode != http.StatusOK:
-		return nil, 0, statusError(res.StatusCode, text)
+		return nil, 0, storeapi.Refused(res.StatusCode, text)
 	}
 	if err := json.Unmarshal(text, &all); err != nil {
 		return nil, 0, fmt.Errorf("answer can't be read: %w", err)
 	}
-	revision, _ = strconv.ParseUint(res.Header.Get(headRevision), 10, 64) // not from the version before
+	revision, _ = strconv.ParseUint(res.Header.Get(storeapi.HeadRevision), 10, 64) // not from the version before
 	return all, revision, nil
 }
 
@@ -204,13 +197,36 @@
 	}
 	a, err := c.Txn(ctx, r)
 	if err == nil && !a.Held {
-		err = &StatusError{http.StatusPreconditionFailed, "the key has revision " + strconv.FormatUint(a.Results[0].Revision, 10)}
+		err = &storeapi.StatusError{Code: http.StatusPreconditionFailed, Text: "the key has revision " + strconv.FormatUint(a.Results[0].Revision, 10)}
 	}
 	return a, err
 }
 
 // Status asks one node what it is; it does not ask again.
-func (c *Client) Status(ctx context.Context, node string) (st Status, err error) {
-	one := &Client{Nodes: []string{node}, HTTP: c.HTTP}
-	return st, one.ask(ctx, http.MethodGet, "/status", nil, &st)
+func (c *Client) Status(ctx context.Context, node string) (st storeapi.Status, err error) {
+	return st, c.One(ctx, node, http.MethodGet, "/status", nil, &st)
+}
+
+// One asks one node, once; to may be nil.
+func (c *Client) One(ctx context.Context, node, method, path string, body []byte, to any) error {
+	one := &Client{Nodes: []string{node}, HTTP: c.HTTP, cluster: c.cluster}
+	return one.ask(ctx, method, path, body, to)
+}
+
+// Patient is the client with more time for an answer.
+func (c *Client) Patient() *Client {
+	slow := *c
+	slow.HTTP = &http.Client{Transport: c.HTTP.Transport, Timeout: storeapi.ApplyTime + time.Second}
+	return &slow
+}
+
+// Members asks for the members, as the leader sees them.
+func (c *Client) Members(ctx context.Context) (m storeapi.Members, err error) {
+	return m, c.ask(ctx, http.MethodGet, "/members", nil, &m)
+}
+
+// ChangeMember has a member removed (DELETE), let in again (PUT) or given a vote
+// (POST); all may be asked again.
+func (c *Client) ChangeMember(ctx context.Context, method, name string) error {
+	return c.ask(ctx, method, "/members/"+name, nil, nil)
 }
--- a/tests/backup_test.go
+++ b/tests/backup_test.go
@@ -17,7 +17,7 @@
 
 	"oxbowbridge/internal/backup"
 	"oxbowbridge/internal/kv"
-	"oxbowbridge/internal/store"
+	"oxbowbridge/internal/storeclient"
 )
 
 // pair is a transaction that writes two keys alike.
@@ -46,7 +46,7 @@
 		}
 	})
 	lead := c.leader()
-	follower := store.NewClient([]string{c.peers[(lead+1)%3]["admin"].(string)})
+	follower := storeclient.New([]string{c.peers[(lead+1)%3]["admin"].(string)})
 	await(t, "both keys", func() bool { _, _, err := follower.Get(t.Context(), "pair/b", ""); return err == nil })
 	var text []byte
 	var head backup.Head
@@ -143,7 +143,7 @@
 	lead := c.leader()
 	begin(lead)
 	c.kill(lead)
-	others := store.NewClient([]string{c.peers[(lead+1)%3]["admin"].(string), c.peers[(lead+2)%3]["admin"].(string)})
+	others := storeclient.New([]string{c.peers[(lead+1)%3]["admin"].(string), c.peers[(lead+2)%3]["admin"].(string)})
 	c.leader()
 	code, body := c.http(c.leader(), "GET", "/store/_cluster/restore?local=1", "")
 	require.Equal(t, 200, code, "it was cut off: %s", body)
@@ -181,14 +181,15 @@
 		c.kill(i)
 	}
 	old := c.dirs[2]
-	for i := range 2 {
+	for i := range 3 { // all begin anew
 		c.dirs[i] = t.TempDir()
-		c.start(i)
 	}
-	lead := c.leader()
-	c.put(lead, "note/new", `2`)
+	c.begin()
+	c.put(0, "note/new", `2`)
+	c.kill(2)
+	c.dirs[2] = old
 	c.start(2)
-	require.Equal(t, old, c.dirs[2])
+	lead := c.leader()
 	await(t, "a line", func() bool {
 		return strings.Contains(c.nodes[2].log(), "peer is of another cluster") || strings.Contains(c.nodes[lead].log(), "peer is of another cluster")
 	})
--- a/tests/faults_test.go
+++ b/tests/faults_test.go
@@ -18,7 +18,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"oxbowbridge/internal/store"
+	"oxbowbridge/internal/storeclient"
 )
 
 // wire is one way on which one node calls another: it can be cut, stalled in either
@@ -192,7 +192,7 @@
 		lead := c.leader()
 		c.put(lead, "note/stop", fmt.Sprint(2*round))
 		require.NoError(t, c.nodes[lead].cmd.Process.Signal(syscall.SIGSTOP))
-		others := store.NewClient([]string{c.peers[(lead+1)%3]["admin"].(string), c.peers[(lead+2)%3]["admin"].(string)})
+		others := storeclient.New([]string{c.peers[(lead+1)%3]["admin"].(string), c.peers[(lead+2)%3]["admin"].(string)})
 		value := fmt.Sprint(2*round + 1)
 		_, err := others.Put(t.Context(), "note/stop", json.RawMessage(value), nil)
 		require.NoError(t, err)
@@ -330,7 +330,7 @@
 	}
 	var outages []outage
 	count := map[string]int{}
-	for n := 0; time.Since(h.began) < *faultTime; n++ {
+	for n := 0; time.Since(h.began) < *faultTime || !h.enough(); n++ {
 		f := faults[n%len(faults)]
 		i := w.leader()
 		pause(300, 500)
--- a/tests/linear_test.go
+++ b/tests/linear_test.go
@@ -102,6 +102,14 @@
 	return ops
 }
 
+// enough tells whether so much was answered that a check of it means something. A busy
+// machine gets more time for it.
+func (h *history) enough() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.count.writes > 50 && h.count.reads > 100 || time.Since(h.began) > *faultTime+2*patience
+}
+
 // client reads, writes and compares-and-sets at random nodes until told to stop.
 func (h *history) client(c *cluster, id int, stop <-chan struct{}) {
 	seen := map[string][2]string{} // by key: a value that was read, and its tag
@@ -192,7 +200,7 @@
 		}()
 	}
 	rng, kills := rand.New(rand.NewPCG(3, 3)), 0
-	for time.Since(h.began) < *faultTime {
+	for time.Since(h.began) < *faultTime || !h.enough() {
 		time.Sleep(time.Duration(500+rng.IntN(1000)) * time.Millisecond)
 		i := rng.IntN(3)
 		if kills%2 == 0 {
--- a/tests/watch_test.go
+++ b/tests/watch_test.go
@@ -18,16 +18,16 @@
 	"github.com/stretchr/testify/require"
 
 	"oxbowbridge/internal/kv"
-	"oxbowbridge/internal/store"
+	"oxbowbridge/internal/storeclient"
 	"oxbowbridge/internal/watch"
 )
 
-func (c *cluster) client() *store.Client {
+func (c *cluster) client() *storeclient.Client {
 	var nodes []string
 	for _, p := range c.peers {
 		nodes = append(nodes, p["admin"].(string))
 	}
-	return store.NewClient(nodes)
+	return storeclient.New(nodes)
 }
 
 // follower keeps what a watch has told.
@@ -36,7 +36,7 @@
 	revs []watch.Revision
 }
 
-func follow(t *testing.T, c *store.Client, prefix string, from uint64) *follower {
+func follow(t *testing.T, c *storeclient.Client, prefix string, from uint64) *follower {
 	f := &follower{}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -150,7 +150,7 @@
 	require.NoError(t, deaf.(*net.TCPConn).SetReadBuffer(4<<10))
 	fmt.Fprintf(deaf, "GET /watch?prefix=w/&from=%d HTTP/1.1\r\nHost: x\r\n\r\n", first.Revision)
 	await(t, "a watcher", watchers(1))
-	reads := follow(t, store.NewClient([]string{addr}), "w/", first.Revision)
+	reads := follow(t, storeclient.New([]string{addr}), "w/", first.Revision)
 	await(t, "a second one", watchers(2))
 	big := json.RawMessage(`"` + strings.Repeat("x", 60<<10) + `"`)
 	for i := range 160 {
