--- a/cmd/oxbowbridge/store.go
+++ b/cmd/oxbowbridge/store.go
@@ -45,6 +45,7 @@
 		c.AddCommand(sub)
 		return sub
 	}
+	s.addMembers(add)
 	add("status", "Show each node that --nodes names", cobra.NoArgs, s.status)
 	get := add("get [KEY]", "Print a key, or all", cobra.MaximumNArgs(1), s.get)
 	get.Flags().BoolVar(&s.local, "local", false, "what the node knows, however old")
@@ -86,7 +87,7 @@
 		Away string `json:"away,omitempty"`
 	}
 	var lines []line
-	rows := [][]any{{"ADDRESS", "NODE", "STATE", "LEADER", "APPLIED", "LAST", "CLUSTER", "ERROR"}}
+	rows := [][]any{{"ADDRESS", "NODE", "STATE", "LEADER", "APPLIED", "LAST", "CLUSTER", "WAITS FOR OR ERROR"}}
 	up := 0
 	for _, addr := range s.nodes {
 		st, err := client.Status(c.Context(), addr)
@@ -97,7 +98,7 @@
 			up++
 		}
 		lines = append(lines, l)
-		wrong := l.Away + st.SQLError
+		wrong := l.Away + st.Waits + st.SQLError
 		if st.Foreign != "" {
 			wrong = strings.TrimSpace(wrong + " of another cluster: " + st.Foreign)
 		}
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -53,6 +53,7 @@
 type Word struct {
 	ID      string   `json:"id"`
 	Cluster string   `json:"cluster,omitempty"`
+	Was     []string `json:"was,omitempty"`     // clusters that this one was recovered from
 	Fresh   bool     `json:"fresh"`             // a new folder that never took the place of another
 	Config  uint64   `json:"config"`            // index of the configuration that it has
 	Members []string `json:"members,omitempty"` // in that configuration
@@ -90,6 +91,9 @@
 // Decide says what a node may do, and why. words are the answers of others by name; one
 // that is not there has not answered.
 func Decide(own Own, words map[string]Word) (Verdict, string) {
+	if by := Replaced(own.Cluster, words); by != "" {
+		return Wait, fmt.Sprintf("this folder to be moved away: its cluster was recovered as %s", by)
+	}
 	if own.Empty {
 		return empty(own, words)
 	}
@@ -137,6 +141,17 @@
 	return Resume, fmt.Sprintf("%d others have seen no more of this disk", vouched)
 }
 
+// Replaced is the cluster that was recovered from one, or "". Nodes of the old one that
+// come back must not act as if it still were.
+func Replaced(cluster string, words map[string]Word) string {
+	for _, w := range words {
+		if cluster != "" && w.Cluster != cluster && slices.Contains(w.Was, cluster) {
+			return w.Cluster
+		}
+	}
+	return ""
+}
+
 func foreign(own Own, w Word) bool {
 	return own.Cluster != "" && w.Cluster != "" && own.Cluster != w.Cluster
 }
--- a/internal/identity/identity_test.go
+++ b/internal/identity/identity_test.go
@@ -63,6 +63,7 @@
 		})), Resume},
 		{"has lost its vote", voter, words(is("b@1", func(w *Word) { w.Config, w.Voters = 9, []string{"b@1", "c@1"} })), Join},
 		{"a learner", with(func(o *Own) { o.Voters = []string{"b@1", "c@1"} }), nil, Join},
+		{"its cluster was recovered as another", voter, words(is("b@1", nil), is("c@9", func(w *Word) { w.Cluster, w.Was = "y", []string{"x"} })), Wait},
 		{"a cluster of one", with(func(o *Own) { o.Members, o.Voters = []string{"a@1"}, []string{"a@1"} }), nil, Resume},
 	} {
 		got, why := Decide(c.own, c.words)
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -30,6 +30,7 @@
 	Reserved   = "_cluster/"           // prefix of what the store keeps about itself
 	ClusterKey = Reserved + "id"       // names the cluster, for as long as it lives
 	RestoreKey = Reserved + "restore"  // there while a backup is written back, and says which
+	WasKey     = Reserved + "was"      // the clusters that this one was recovered from
 	GonePart   = Reserved + "removed/" // and a name: operators want no such member
 	VotePart   = Reserved + "prefer/"  // and a name: operators want it to have a vote
 	StatePart  = "state/"              // prefix of what services say of themselves; no backup puts it back
--- /dev/null
+++ b/internal/rig/cluster.go
@@ -0,0 +1,367 @@
+// Package rig plays faults on several processes of the program: links between any two
+// of them that are cut, held, delayed, slowed and healed, processes that are killed,
+// stopped and continued, folders that are taken away or brought back as they were, and a
+// schedule of all that from a seed.
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Patience is how long any condition may take.
+const Patience = 20 * time.Second
+
+// T is what the rig needs of a test, or of a tool.
+type T interface {
+	Helper()
+	Fatalf(format string, args ...any)
+	Logf(format string, args ...any)
+	Cleanup(func())
+	TempDir() string
+}
+
+// Await waits for a condition.
+func Await(t T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never happened: %s", what)
+}
+
+var portsGiven atomic.Uint32
+
+// FreePort is an address that nothing listens on. It lies below the ports that
+// the system gives to outgoing connections, which could take it meanwhile, and is
+// given once.
+func FreePort(t T) string {
+	const first, most = 20000, 12000
+	for range most {
+		n := portsGiven.Add(1) + uint32(os.Getpid())*97
+		addr := fmt.Sprintf("127.0.0.1:%d", first+n%most)
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			ln.Close()
+			return addr
+		}
+	}
+	t.Fatalf("no port is free")
+	return ""
+}
+
+// Process is a running process of the program.
+type Process interface {
+	Signal(os.Signal) error
+	Kill() // and wait for its end
+	Log() string
+}
+
+// Peer is a node of the store, as a configuration names it.
+type Peer struct {
+	Name  string `json:"name"`
+	Raft  string `json:"raft"`
+	Admin string `json:"admin"`
+	Zone  string `json:"zone,omitempty"`
+}
+
+// Cluster is services with a store.
+type Cluster struct {
+	T        T
+	Peers    []Peer
+	Dirs     []string
+	Founders int            // so many of the peers are in the configuration; the others join
+	Fields   map[string]any // further ones of each node's store section
+	Launch   func(node int, store map[string]any) Process
+
+	links map[[2]int][2]*Link // from, to: Raft's and the admin port's
+	nodes []Process
+}
+
+// NewCluster is one of which nothing runs yet. Nodes beyond the founders join.
+func NewCluster(t T, founders, nodes int) *Cluster {
+	c := &Cluster{T: t, Founders: founders, Fields: map[string]any{}, nodes: make([]Process, nodes)}
+	for i := range nodes {
+		c.Peers = append(c.Peers, Peer{Name: fmt.Sprint("s", i), Raft: FreePort(t), Admin: FreePort(t)})
+		c.Dirs = append(c.Dirs, filepath.Join(t.TempDir(), "store"))
+	}
+	return c
+}
+
+// Wire puts a link between any two of the founders, for each direction of calls.
+func (c *Cluster) Wire() {
+	c.links = map[[2]int][2]*Link{}
+	for i := range c.Founders {
+		for j := range c.Founders {
+			if i == j {
+				continue
+			}
+			var pair [2]*Link
+			for k, to := range []string{c.Peers[j].Raft, c.Peers[j].Admin} {
+				l, err := NewLink(to)
+				if err != nil {
+					c.T.Fatalf("link: %v", err)
+				}
+				c.T.Cleanup(l.Close)
+				pair[k] = l
+			}
+			c.links[[2]int{i, j}] = pair
+		}
+	}
+}
+
+// Around sets the links from a node, and those to it.
+func (c *Cluster) Around(node int, from, to Mode) {
+	for ends, pair := range c.links {
+		for _, l := range pair {
+			switch node {
+			case ends[0]:
+				l.Set(from)
+			case ends[1]:
+				l.Set(to)
+			}
+		}
+	}
+}
+
+// Between sets the links between two nodes, both ways.
+func (c *Cluster) Between(a, b int, m Mode) {
+	for _, ends := range [][2]int{{a, b}, {b, a}} {
+		for _, l := range c.links[ends] {
+			l.Set(m)
+		}
+	}
+}
+
+// Heal mends all links.
+func (c *Cluster) Heal() {
+	for _, pair := range c.links {
+		pair[0].Set(Mode{})
+		pair[1].Set(Mode{})
+	}
+}
+
+// Section is a node's part of the configuration.
+func (c *Cluster) Section(node int) map[string]any {
+	out := map[string]any{"node": c.Peers[node].Name, "dir": c.Dirs[node]}
+	var peers []Peer
+	for j, p := range c.Peers[:c.Founders] {
+		if pair, ok := c.links[[2]int{node, j}]; ok {
+			p.Raft, p.Admin = pair[0].Addr, pair[1].Addr
+		}
+		peers = append(peers, p)
+	}
+	if out["peers"] = peers; node >= c.Founders {
+		out["self"] = c.Peers[node]
+	}
+	for k, v := range c.Fields {
+		out[k] = v
+	}
+	return out
+}
+
+// Begin starts the founders, and waits for a leader.
+func (c *Cluster) Begin() {
+	for i := range c.Founders {
+		c.Start(i)
+	}
+	c.Leader()
+}
+
+// Start starts a node with the folder that it has.
+func (c *Cluster) Start(node int) { c.nodes[node] = c.Launch(node, c.Section(node)) }
+
+// Process is a node's last one.
+func (c *Cluster) Process(node int) Process { return c.nodes[node] }
+
+// Kill ends a node at once.
+func (c *Cluster) Kill(node int) { c.nodes[node].Kill() }
+
+// KillAll ends all that were started.
+func (c *Cluster) KillAll() {
+	for _, p := range c.nodes {
+		if p != nil {
+			p.Kill()
+		}
+	}
+}
+
+// Stop has a node stand still until Continue.
+func (c *Cluster) Stop(node int) { c.nodes[node].Signal(syscall.SIGSTOP) }
+
+// Continue has it go on.
+func (c *Cluster) Continue(node int) { c.nodes[node].Signal(syscall.SIGCONT) }
+
+// Wipe takes a node's folder away. It must not run.
+func (c *Cluster) Wipe(node int) {
+	if err := os.RemoveAll(c.Dirs[node]); err != nil {
+		c.T.Fatalf("wipe: %v", err)
+	}
+}
+
+// Copy copies a running node's folder, while it stands still.
+func (c *Cluster) Copy(node int) (dir string) {
+	c.Stop(node)
+	defer c.Continue(node)
+	dir = filepath.Join(c.T.TempDir(), "copy")
+	if err := os.CopyFS(dir, os.DirFS(c.Dirs[node])); err != nil {
+		c.T.Fatalf("copy: %v", err)
+	}
+	return dir
+}
+
+// Bring puts a copy in the place of a node's folder. It must not run.
+func (c *Cluster) Bring(node int, dir string) {
+	c.Wipe(node)
+	if err := os.CopyFS(c.Dirs[node], os.DirFS(dir)); err != nil {
+		c.T.Fatalf("bring back: %v", err)
+	}
+}
+
+// HTTP asks one node; code 0 is no answer.
+func (c *Cluster) HTTP(node int, method, path, body string) (code int, text string) {
+	req, err := http.NewRequest(method, "http://"+c.Peers[node].Admin+path, strings.NewReader(body))
+	if err != nil {
+		c.T.Fatalf("request: %v", err)
+	}
+	res, err := (&http.Client{Timeout: Patience}).Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	b, _ := io.ReadAll(res.Body)
+	return res.StatusCode, strings.TrimSpace(string(b))
+}
+
+// Ask reads a node's JSON answer, and tells whether it was a good one.
+func (c *Cluster) Ask(node int, path string, to any) bool {
+	code, text := c.HTTP(node, "GET", path, "")
+	return code == 200 && json.Unmarshal([]byte(text), to) == nil
+}
+
+// Leader waits for a node that says that it leads, other than some.
+func (c *Cluster) Leader(but ...int) (leader int) {
+	c.T.Helper()
+	Await(c.T, "a leader", func() bool {
+		for i := range c.Peers {
+			var st struct{ State string }
+			if c.nodes[i] != nil && !contains(but, i) && c.Ask(i, "/status", &st) && st.State == "Leader" {
+				leader = i
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+func contains(list []int, n int) bool {
+	for _, x := range list {
+		if x == n {
+			return true
+		}
+	}
+	return false
+}
+
+// Put writes a key until it is acknowledged.
+func (c *Cluster) Put(node int, key, value string) {
+	c.T.Helper()
+	Await(c.T, "a write", func() bool {
+		code, _ := c.HTTP(node, "PUT", "/store/"+key, value)
+		return code == 204
+	})
+}
+
+// Has waits until a node answers with a value.
+func (c *Cluster) Has(node int, key, value string) {
+	c.T.Helper()
+	Await(c.T, fmt.Sprintf("%s=%s on node %d", key, value, node), func() bool {
+		code, text := c.HTTP(node, "GET", "/store/"+key, "")
+		return code == 200 && text == value
+	})
+}
+
+// Equal waits until nodes answer alike: a write of unknown outcome may still come.
+func (c *Cluster) Equal(nodes ...int) {
+	c.T.Helper()
+	Await(c.T, "equal nodes", func() bool {
+		first := ""
+		for n, i := range nodes {
+			var all map[string]json.RawMessage
+			if !c.Ask(i, "/store", &all) {
+				return false
+			}
+			for key := range all {
+				if strings.HasPrefix(key, "state/") { // services go on to write of themselves
+					delete(all, key)
+				}
+			}
+			text, _ := json.Marshal(all)
+			if n == 0 {
+				first = string(text)
+			} else if string(text) != first {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Member is a row of the members' table.
+type Member struct{ Name, ID, Role, State string }
+
+// Members are those that a node tells of, by id.
+func (c *Cluster) Members(node int) map[string]Member {
+	var m struct{ Members []Member }
+	out := map[string]Member{}
+	if c.Ask(node, "/members", &m) {
+		for _, x := range m.Members {
+			out[x.ID] = x
+		}
+	}
+	return out
+}
+
+// Replace takes a node's disk away while it is killed, and waits until its new one has the
+// place of the old one.
+func (c *Cluster) Replace(node int) {
+	c.T.Helper()
+	var was struct{ ID string }
+	Await(c.T, "its id", func() bool { return c.Ask(node, "/self", &was) })
+	c.Kill(node)
+	c.Wipe(node)
+	c.Start(node)
+	Await(c.T, "the old disk to be forgotten", func() bool {
+		m := c.Members(node)
+		_, there := m[was.ID]
+		return len(m) > 0 && !there
+	})
+}
+
+// Strong waits until some nodes have their votes, and no other one is a member.
+func (c *Cluster) Strong(voters ...int) {
+	c.T.Helper()
+	Await(c.T, fmt.Sprintf("votes of %v, and no others", voters), func() bool {
+		m := c.Members(voters[0])
+		good := 0
+		for _, x := range m {
+			for _, v := range voters {
+				if x.Name == c.Peers[v].Name && x.Role == "voter" && (x.State == "up" || x.State == "leader") {
+					good++
+				}
+			}
+		}
+		return good == len(voters) && len(m) == len(voters)
+	})
+}
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -71,9 +71,10 @@
 
 // folder is what a node knows of its disk when it starts.
 type folder struct {
-	disk   *raftdisk.Disk
-	own    identity.Own
-	starts uint64
+	disk      *raftdisk.Disk
+	own       identity.Own
+	addresses map[string]string // of the members in its log
+	starts    uint64
 }
 
 // readFolder reads a disk's identity, or gives it one, and counts the start.
@@ -123,6 +124,7 @@
 	}
 	f.own.Config = index
 	f.own.Members, f.own.Voters = idsOf(conf)
+	f.addresses = addressesOf(conf)
 	// A log that the version before began knows members by their names alone.
 	if _, ok := serverOf(conf, s.self.Name); ok {
 		f.own.ID = s.self.Name
@@ -160,6 +162,15 @@
 	return members, voters
 }
 
+// addressesOf are the members' addresses, as the configuration holds them.
+func addressesOf(conf raft.Configuration) map[string]string {
+	out := map[string]string{}
+	for _, x := range conf.Servers {
+		out[string(x.ID)] = string(x.Address)
+	}
+	return out
+}
+
 func serverOf(conf raft.Configuration, id string) (raft.Server, bool) {
 	for _, x := range conf.Servers {
 		if string(x.ID) == id {
--- a/internal/store/life.go
+++ b/internal/store/life.go
@@ -74,6 +74,9 @@
 // errRemoved ends the life of a member that the others have removed.
 var errRemoved = errors.New("the others have removed this disk from the members")
 
+// errReplaced ends the life of a member of a cluster that was recovered as another.
+var errReplaced = errors.New("the cluster was recovered as another")
+
 // live waits until the disk may take part, and has it do so until it fails, this node is
 // removed, or the store ends. It closes the disk.
 func (s *Store) live(disk *raftdisk.Disk) (err error) {
@@ -258,6 +261,10 @@
 			kept = time.Now()
 			s.peers.keep(l)
 		}
+		words, _ := s.peers.words()
+		if by := identity.Replaced(s.cluster.id(), words); by != "" {
+			return fmt.Errorf("%w: it is %s now", errReplaced, by)
+		}
 		conf, index := l.conf()
 		s.followAll(conf)
 		_, in := serverOf(conf, l.id)
--- a/internal/store/peers.go
+++ b/internal/store/peers.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/raft"
 	"go.uber.org/zap"
 
 	"oxbowbridge/internal/identity"
@@ -96,6 +97,11 @@
 		id := p.s.id()
 		self, old, err := p.one(addr, id)
 		p.take(name, id, self, old, err)
+		var others []Peer
+		for id, addr := range self.Addresses {
+			others = append(others, peerOf(raft.ServerID(id), raft.ServerAddress(addr)))
+		}
+		p.follow(others)
 		select {
 		case <-p.ctx.Done():
 			return
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -243,17 +243,18 @@
 	return st
 }
 
-// Self is what the node tells another one, which has the id.
-func (s *Store) Self(asker string) storeapi.Self {
-	out := storeapi.Self{State: stateWaiting, Raft: s.self.Raft, Admin: s.self.Admin, Zone: s.self.Zone}
-	out.ID, out.Cluster = s.id(), s.cluster.id()
+// Self is what the node tells another one, which has the id. It says nothing before it
+// knows its own disk.
+func (s *Store) Self(asker string) (storeapi.Self, error) {
 	f := s.started.Load()
 	if f == nil {
-		return out
+		return storeapi.Self{}, fmt.Errorf("%w: it waits for %s", ErrNotServing, *s.waits.Load())
 	}
 	own := f.own
+	out := storeapi.Self{State: stateWaiting, Raft: s.self.Raft, Admin: s.self.Admin, Zone: s.self.Zone}
+	out.ID, out.Cluster = own.ID, s.cluster.id()
 	out.Mark, out.Fresh = own.Mark, own.Fresh
-	out.Config, out.Members, out.Voters = own.Config, own.Members, own.Voters
+	out.Config, out.Members, out.Voters, out.Addresses = own.Config, own.Members, own.Voters, f.addresses
 	if l := s.now.Load(); l != nil {
 		out.State, out.Applied = stateServing, l.raft.AppliedIndex()
 		if m, err := l.disk.Mark(); err == nil {
@@ -262,10 +263,14 @@
 		conf, index := l.conf()
 		out.Config = index
 		out.Members, out.Voters = idsOf(conf)
+		out.Addresses = addressesOf(conf)
 		out.Fresh = own.Fresh && out.Mark.LastIndex == 0
 	}
+	if e, ok := s.state.get(kv.WasKey); ok {
+		json.Unmarshal(e.Value, &out.Was) // this package wrote it
+	}
 	out.Seen = s.peers.of(asker)
-	return out
+	return out, nil
 }
 
 // Good is a version of a key that the service has used.
--- a/internal/storeadmin/admin.go
+++ b/internal/storeadmin/admin.go
@@ -67,7 +67,7 @@
 	mux := http.NewServeMux()
 	for pattern, do := range map[string]http.HandlerFunc{
 		"GET /status":            func(w http.ResponseWriter, _ *http.Request) { storeapi.Answer(w, a.status()) },
-		"GET /self":              func(w http.ResponseWriter, r *http.Request) { storeapi.Answer(w, s.Self(r.URL.Query().Get("from"))) },
+		"GET /self":              a.self,
 		"GET /index":             a.index,
 		"GET /store":             a.list,
 		"GET /store/{key...}":    a.get,
@@ -116,6 +116,16 @@
 	return st
 }
 
+// self answers another node.
+func (a *admin) self(w http.ResponseWriter, r *http.Request) {
+	out, err := a.store.Self(r.URL.Query().Get("from"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	storeapi.Answer(w, out)
+}
+
 func (a *admin) list(w http.ResponseWriter, r *http.Request) {
 	if !a.fresh(w, r) {
 		return
--- a/internal/storeapi/storeapi.go
+++ b/internal/storeapi/storeapi.go
@@ -57,6 +57,8 @@
 	Raft    string        `json:"raft"`
 	Admin   string        `json:"admin"`
 	Zone    string        `json:"zone,omitempty"`
+	// Addresses of the members, for one that does not know of all of them.
+	Addresses map[string]string `json:"addresses,omitempty"`
 }
 
 // Member is a row of GET /members.
--- /dev/null
+++ b/tests/disks_test.go
@@ -0,0 +1,328 @@
+package tests
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oxbowbridge/internal/rig"
+)
+
+// fill writes keys at a node, each until it is acknowledged.
+func fill(c *cluster, node int, prefix string, n int) {
+	for k := range n {
+		c.Put(node, fmt.Sprint(prefix, "/", k), fmt.Sprint(k))
+	}
+}
+
+// filled tells whether a node answers all of them, and fails on any other good answer.
+func filled(t *testing.T, c *cluster, node int, prefix string, n int) bool {
+	for k := range n {
+		code, text := c.HTTP(node, "GET", fmt.Sprint("/store/", prefix, "/", k), "")
+		if code != 200 {
+			require.NotEqual(t, 404, code, "%s/%d is gone at node %d", prefix, k, node)
+			return false
+		}
+		require.Equal(t, fmt.Sprint(k), text)
+	}
+	return true
+}
+
+// id is a running node's name and disk.
+func (c *cluster) id(node int) string {
+	var self struct{ ID string }
+	c.Ask(node, "/self", &self)
+	return self.ID
+}
+
+// TestLostDisk: of three, n2 is down while keys are acknowledged; then n1 loses its disk
+// and n0 is away. What is left knows that it doesn't know: it refuses until n0 is back,
+// no key is lost, and n1 becomes a member again by itself.
+func TestLostDisk(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	fill(c, 0, "early", 5)
+	c.Kill(2)
+	fill(c, 0, "note", 40)
+	c.Kill(1)
+	c.Wipe(1)
+	c.Kill(0)
+	c.Start(1)
+	c.Start(2)
+	await(t, "a line that says what is waited for", func() bool {
+		return strings.Contains(c.nodes[2].log(), `"msg":"store waits"`) && strings.Contains(c.nodes[2].log(), "must say that this disk is not older")
+	})
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); { // six elections' worth
+		for i := 1; i <= 2; i++ {
+			code, text := c.HTTP(i, "GET", "/store/note/1", "")
+			assert.Equal(t, 503, code, text)
+			code, text = c.HTTP(i, "PUT", "/store/note/1", `"new"`)
+			require.Equal(t, 503, code, text)
+		}
+	}
+	assert.Equal(t, 1, strings.Count(c.nodes[2].log(), "must say that this disk is not older"), "one line")
+	c.Start(0)
+	c.Strong(0, 1, 2)
+	for i := range 3 {
+		await(t, "all keys", func() bool { return filled(t, c, i, "note", 40) && filled(t, c, i, "early", 5) })
+	}
+}
+
+// TestEachDiskWiped: one voter after the other loses its disk while clients go on, until
+// none of the first disks is left. Nothing acknowledged is lost.
+func TestEachDiskWiped(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	fill(c, 0, "note", 20)
+	first := c.Members(0)
+	h, stop := &history{began: time.Now()}, make(chan struct{})
+	var wg sync.WaitGroup
+	for id := range 3 {
+		wg.Go(func() { h.client(c, id, stop) })
+	}
+	for i := range 3 {
+		c.Replace(i)
+		c.Strong(0, 1, 2)
+	}
+	close(stop)
+	wg.Wait()
+	for id := range c.Members(0) {
+		assert.NotContains(t, first, id)
+	}
+	result, _ := porcupine.CheckOperationsVerbose(register, h.known(), time.Minute)
+	require.Equal(t, porcupine.Ok, result)
+	c.Equal(0, 1, 2)
+	assert.True(t, filled(t, c, 1, "note", 20))
+}
+
+// TestOlderFolder: a folder that is brought back as it was a while ago is noticed by what
+// the others have seen of it, alone, and while its node reaches one other only.
+func TestOlderFolder(t *testing.T) {
+	t.Parallel()
+	c := newWired(t)
+	for _, cut := range []bool{false, true} {
+		lead := c.Leader()
+		old := (lead + 1) % 3
+		third := (lead + 2) % 3
+		c.Put(lead, "note/age", `"old"`)
+		c.Has(old, "note/age", `"old"`)
+		then := c.Copy(old)
+		c.Leader()
+		for n := range 30 {
+			c.Put(lead, fmt.Sprint("more/", n), fmt.Sprint(n))
+		}
+		c.Put(lead, "note/age", `"new"`)
+		c.Has(third, "note/age", `"new"`)
+		mark := func(by, of int) uint64 {
+			var self, seen struct {
+				ID   string
+				Mark struct {
+					LastIndex uint64 `json:"last_index"`
+				}
+				Seen struct {
+					LastIndex uint64 `json:"last_index"`
+				}
+			}
+			c.Ask(of, "/self?from=x", &self)
+			c.Ask(by, "/self?from="+self.ID, &seen)
+			return min(seen.Seen.LastIndex, self.Mark.LastIndex)
+		}
+		var before struct {
+			Mark struct {
+				LastIndex uint64 `json:"last_index"`
+			}
+		}
+		require.True(t, c.Ask(lead, "/self?from=x", &before))
+		await(t, "the others to have seen it", func() bool { return mark(third, old) >= before.Mark.LastIndex })
+		c.Kill(old)
+		c.Bring(old, then)
+		if cut {
+			c.Between(old, lead, rig.Mode{Cut: true})
+			c.Kill(lead) // the one that is left and the older folder would be a majority
+		}
+		c.Start(old)
+		await(t, "the verdict", func() bool { return strings.Contains(c.nodes[old].log(), "it becomes a new member") })
+		if cut {
+			for range 20 {
+				for _, i := range []int{old, third} {
+					code, text := c.HTTP(i, "GET", "/store/note/age", "")
+					assert.Equal(t, 503, code, text)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			c.Heal()
+			c.Start(lead)
+		}
+		c.Strong(0, 1, 2)
+		for i := range 3 {
+			c.Has(i, "note/age", `"new"`)
+			await(t, "all keys", func() bool { return filled(t, c, i, "more", 30) })
+		}
+	}
+}
+
+// TestWipedAndCutOff: a node that lost its disk and reaches nobody makes no cluster of its
+// own, and is taken in when it is reached again.
+func TestWipedAndCutOff(t *testing.T) {
+	t.Parallel()
+	c := newWired(t)
+	fill(c, 0, "note", 10)
+	lost := c.Leader()
+	c.Kill(lost)
+	c.Wipe(lost)
+	c.Around(lost, rig.Mode{Cut: true}, rig.Mode{Cut: true})
+	c.Start(lost)
+	next := c.Leader(lost)
+	c.Put(next, "note/10", "10")
+	await(t, "a line", func() bool { return strings.Contains(c.nodes[lost].log(), "must say whether there is a cluster yet") })
+	code, text := c.HTTP(lost, "GET", "/store/note/1", "")
+	assert.Equal(t, 503, code, text)
+	c.Heal()
+	c.Strong(0, 1, 2)
+	await(t, "all keys", func() bool { return filled(t, c, lost, "note", 11) })
+}
+
+// TestMembers: a node joins from its seeds, takes the place of a voter that is gone, is
+// removed, is not let in, and joins again under its old name; a voter that operators want
+// gets its vote; the leader leaves.
+func TestMembers(t *testing.T) {
+	t.Parallel()
+	c := newNodes(t, 3, 4)
+	c.Fields["replace_after_ms"] = 1500
+	c.Begin()
+	fill(c, 0, "note", 10)
+	c.Start(3)
+	role := func(node int) (role string) {
+		for _, m := range c.Members(c.Leader()) {
+			if m.Name == c.Peers[node].Name {
+				role = m.Role
+			}
+		}
+		return role
+	}
+	await(t, "a learner", func() bool { return role(3) == "learner" })
+	gone := (c.Leader() + 1) % 3
+	c.Kill(gone)
+	await(t, "its vote to go to the standby", func() bool { return role(3) == "voter" && role(gone) == "learner" })
+	c.Start(gone)
+	await(t, "all keys", func() bool { return filled(t, c, 3, "note", 10) && filled(t, c, gone, "note", 10) })
+	nodes := "--nodes=" + strings.Join(c.client().Nodes, ",")
+	run := func(args ...string) string {
+		out, errs, code := cli(t, "", append(append([]string{"store"}, args...), nodes)...)
+		require.Zero(t, code, "%v: %s", args, errs)
+		return out
+	}
+	name := c.Peers[3].Name
+	run("remove", name)
+	c.Strong(0, 1, 2) // the one that was gone is there to take its place
+	await(t, "a refusal", func() bool { return strings.Contains(c.nodes[3].log(), "was removed") })
+	c.Kill(3)
+	c.Wipe(3)
+	c.Start(3)
+	await(t, "a refusal after its folder was wiped", func() bool { return strings.Contains(c.nodes[3].log(), "was removed") })
+	assert.Contains(t, run("members"), "s0@")
+	var m struct{ Removed []string }
+	require.NoError(t, json.Unmarshal([]byte(run("members", "--json")), &m))
+	assert.Equal(t, []string{name}, m.Removed)
+	run("add", name)
+	await(t, "a learner again", func() bool { return role(3) == "learner" })
+	run("promote", name)
+	await(t, "a vote", func() bool { return role(3) == "voter" })
+	lead := c.Leader()
+	run("remove", c.Peers[lead].Name)
+	await(t, "the leader to be gone", func() bool { return c.Leader(lead) != lead && role(lead) == "" })
+	_, errs, code := cli(t, "", "store", "remove", "nobody", nodes)
+	assert.Equal(t, 1, code)
+	assert.Contains(t, errs, "no such member")
+	c.Put(3, "note/last", "1")
+}
+
+// TestJoinBehindPartition: a node whose only seed is cut off from the others learns from
+// it who they are, and is taken in by them; with nobody else to reach it waits.
+func TestJoinBehindPartition(t *testing.T) {
+	t.Parallel()
+	c := newNodes(t, 3, 4)
+	c.Wire()
+	c.Begin()
+	fill(c, 0, "note", 10)
+	alone := (c.Leader() + 1) % 3
+	c.Around(alone, rig.Mode{Cut: true}, rig.Mode{Cut: true})
+	for i := range 3 {
+		if i != alone {
+			c.Stop(i)
+		}
+	}
+	section := c.Section(3)
+	section["peers"], section["voters"] = c.Peers[alone:alone+1], 3
+	c.Launch(3, section)
+	await(t, "a line", func() bool { return strings.Contains(c.nodes[3].log(), "a place among the members") })
+	code, text := c.HTTP(3, "GET", "/store/note/1", "")
+	assert.Equal(t, 503, code, text)
+	for i := range 3 {
+		c.Continue(i)
+	}
+	await(t, "all keys", func() bool { return filled(t, c, 3, "note", 10) })
+	assert.Empty(t, c.Members(alone), "it is still cut off")
+	c.Heal()
+	await(t, "it to be seen everywhere", func() bool { return len(c.Members(alone)) == 4 })
+}
+
+// TestLeaderLostInStep: the leader is killed as soon as each kind of change is under way,
+// and all nodes at once; what was decided is done by the next one, once.
+func TestLeaderLostInStep(t *testing.T) {
+	t.Parallel()
+	c := newNodes(t, 3, 4)
+	c.Fields["replace_after_ms"] = 1000
+	c.Begin()
+	fill(c, 0, "note", 10)
+	said := func(node int, step string) func() bool {
+		n := strings.Count(c.nodes[node].log(), step)
+		return func() bool { return strings.Count(c.nodes[node].log(), step) > n }
+	}
+	lead := c.Leader()
+	joins := said(lead, `"step":"learner"`)
+	c.Start(3)
+	await(t, "a join", joins)
+	c.Kill(lead) // in the middle of taking a learner in; then it is the voter that is gone
+	next := c.Leader(lead)
+	await(t, "a promotion", said(next, `"step":"promote"`))
+	c.Kill(next)
+	c.Start(lead)
+	next2 := c.Leader(next)
+	c.Start(next)
+	out := (next2 + 1) % 4
+	await(t, "a wish", func() bool {
+		code, _ := c.HTTP(next2, "DELETE", "/members/"+c.Peers[out].Name, "")
+		return code == 204
+	})
+	await(t, "its vote to be taken", func() bool { return c.Members(next2)[c.id(out)].Role != "voter" })
+	c.KillAll()
+	for i := range 4 {
+		c.Start(i)
+	}
+	await(t, "it to be removed", func() bool {
+		m := c.Members(c.Leader())
+		voters := 0
+		for _, x := range m {
+			if x.Name == c.Peers[out].Name {
+				return false
+			}
+			if x.Role == "voter" {
+				voters++
+			}
+		}
+		return voters == 3
+	})
+	for i := range 4 {
+		if i != out {
+			await(t, "all keys", func() bool { return filled(t, c, i, "note", 10) })
+		}
+	}
+}
--- a/tests/linear_test.go
+++ b/tests/linear_test.go
@@ -129,7 +129,7 @@
 				in.from = was[0]
 			}
 		}
-		url := "http://" + c.peers[rng.IntN(len(c.peers))]["admin"].(string) + "/store/" + in.key
+		url := "http://" + c.Peers[rng.IntN(len(c.Peers))].Admin + "/store/" + in.key
 		req, err := http.NewRequest(method, url, strings.NewReader(in.value))
 		if err != nil {
 			panic(err)
@@ -204,12 +204,12 @@
 		time.Sleep(time.Duration(500+rng.IntN(1000)) * time.Millisecond)
 		i := rng.IntN(3)
 		if kills%2 == 0 {
-			i = c.leader()
+			i = c.Leader()
 		}
-		c.kill(i)
+		c.Kill(i)
 		kills++
 		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
-		c.start(i)
+		c.Start(i)
 	}
 	close(stop)
 	wg.Wait()
@@ -219,22 +219,7 @@
 	require.Equal(t, porcupine.Ok, result)
 	assert.Greater(t, h.count.writes, 50)
 	assert.Greater(t, h.count.reads, 100)
-	c.equal()
-}
-
-// equal waits until the nodes are: a write of unknown outcome may still come.
-func (c *cluster) equal() {
-	await(c.t, "three equal nodes", func() bool {
-		var all [3]string
-		for i := range all {
-			code, text := c.http(i, "GET", "/store", "")
-			if code != 200 || !strings.Contains(text, "reg/") {
-				return false
-			}
-			all[i] = strings.Split(text, `,"state/`)[0] // what the services write of themselves goes on
-		}
-		return all[0] == all[1] && all[1] == all[2]
-	})
+	c.Equal(0, 1, 2)
 }
 
 // TestCheckerBites: one read that is behind an acknowledged write is found out, and
@@ -267,25 +252,25 @@
 func TestFreshness(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, object{})
-	c.put(0, "note/a", `"one"`)
+	c.Put(0, "note/a", `"one"`)
 	for i := range 3 {
-		c.has(i, "note/a?stale=30s", `"one"`)
+		c.Has(i, "note/a?stale=30s", `"one"`)
 	}
-	c.kill(1)
-	c.kill(2)
+	c.Kill(1)
+	c.Kill(2)
 	for _, path := range []string{"/store/note/a", "/store", "/store/note/a?stale=1ms"} {
-		code, text := c.http(0, "GET", path, "")
+		code, text := c.HTTP(0, "GET", path, "")
 		assert.Equal(t, 503, code, "%s: %s", path, text)
 	}
-	code, text := c.http(0, "GET", "/store/note/a?stale=10m", "")
+	code, text := c.HTTP(0, "GET", "/store/note/a?stale=10m", "")
 	assert.Equal(t, 200, code, text)
-	code, text = c.http(0, "GET", "/store/note/a?local=1", "")
+	code, text = c.HTTP(0, "GET", "/store/note/a?local=1", "")
 	assert.Equal(t, `200 "one"`, fmt.Sprint(code, " ", text))
-	code, _ = c.http(0, "GET", "/store/note/a?stale=soon", "")
+	code, _ = c.HTTP(0, "GET", "/store/note/a?stale=soon", "")
 	assert.Equal(t, 400, code)
-	c.start(1)
-	c.start(2)
-	c.has(0, "note/a", `"one"`)
+	c.Start(1)
+	c.Start(2)
+	c.Has(0, "note/a", `"one"`)
 }
 
 // TestOnce: clients repeat each write, at any node, until it is answered, while nodes
@@ -304,7 +289,7 @@
 			web := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 			do := func(method, path, body string, session, number int) (code int, text string) {
 				for end := time.Now().Add(2 * patience); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
-					req, err := http.NewRequest(method, "http://"+c.peers[rng.IntN(3)]["admin"].(string)+path, strings.NewReader(body))
+					req, err := http.NewRequest(method, "http://"+c.Peers[rng.IntN(3)].Admin+path, strings.NewReader(body))
 					if err != nil {
 						panic(err)
 					}
@@ -350,12 +335,12 @@
 			for id := range clients {
 				code, text := 0, ""
 				await(t, "an answer", func() bool {
-					code, text = c.http(id%3, "POST", "/txn", fmt.Sprintf(`{"then":[{"do":"get","key":"once/%d"}]}`, id))
+					code, text = c.HTTP(id%3, "POST", "/txn", fmt.Sprintf(`{"then":[{"do":"get","key":"once/%d"}]}`, id))
 					return code == 200
 				})
 				assert.Contains(t, text, fmt.Sprintf(`"value":%d`, writes))
 				await(t, "how many puts took effect", func() bool {
-					res, err := http.Get("http://" + c.peers[id%3]["admin"].(string) + fmt.Sprint("/store/once/", id))
+					res, err := http.Get("http://" + c.Peers[id%3].Admin + fmt.Sprint("/store/once/", id))
 					if err != nil {
 						return false
 					}
@@ -366,10 +351,10 @@
 			return
 		case <-time.After(700 * time.Millisecond):
 			if kills < 6 {
-				i := c.leader()
-				c.kill(i)
+				i := c.Leader()
+				c.Kill(i)
 				time.Sleep(300 * time.Millisecond)
-				c.start(i)
+				c.Start(i)
 			}
 		}
 	}
@@ -380,7 +365,7 @@
 	t.Parallel()
 	c := newCluster(t, object{})
 	with := func(i int, method, path, body string, fields ...string) (int, string, string) {
-		req, err := http.NewRequest(method, "http://"+c.peers[i]["admin"].(string)+path, strings.NewReader(body))
+		req, err := http.NewRequest(method, "http://"+c.Peers[i].Admin+path, strings.NewReader(body))
 		require.NoError(t, err)
 		for f := 0; f < len(fields); f += 2 {
 			req.Header.Set(fields[f], fields[f+1])
@@ -454,29 +439,29 @@
 		require.NoError(t, err)
 		return string(text)
 	}
-	c.put(0, "config/settings", classes("first"))
-	c.kill(2)
-	c.start(2)
+	c.Put(0, "config/settings", classes("first"))
+	c.Kill(2)
+	c.Start(2)
 	await(t, "a start on the first settings", func() bool { return strings.Contains(c.nodes[2].log(), `"last_good":false`) })
-	c.put(0, "config/settings", classes("second")) // node 2 has it in its log, and never started on it
-	c.has(2, "config/settings", classes("second"))
+	c.Put(0, "config/settings", classes("second")) // node 2 has it in its log, and never started on it
+	c.Has(2, "config/settings", classes("second"))
 	for i := range 3 {
-		c.kill(i)
+		c.Kill(i)
 	}
-	c.start(2)
+	c.Start(2)
 	c.nodes[2].ready()
 	assert.Contains(t, c.nodes[2].log(), `"last_good":true`)
 	w := &world{service: c.nodes[2]}
 	assert.Equal(t, []int{200, 400}, []int{w.status("first", "ok"), w.status("second", "ok")})
-	code, text := c.http(2, "GET", "/store/config/settings", "")
+	code, text := c.HTTP(2, "GET", "/store/config/settings", "")
 	assert.Equal(t, 503, code, text)
-	c.start(0)
-	c.start(1)
-	c.has(2, "config/settings", classes("second"))
+	c.Start(0)
+	c.Start(1)
+	c.Has(2, "config/settings", classes("second"))
 	for _, set := range []string{classes("second"), `{"classes":[]}`} { // the other would not start
-		c.put(0, "config/settings", set)
-		c.kill(2)
-		c.start(2)
+		c.Put(0, "config/settings", set)
+		c.Kill(2)
+		c.Start(2)
 		c.nodes[2].ready()
 		assert.Equal(t, 200, (&world{service: c.nodes[2]}).status("second", "ok"))
 	}
@@ -497,7 +482,7 @@
 	_, errs, code = cli(t, "", "store", "put", "note/a", `"two"`, "--if-revision=0", all)
 	assert.Equal(t, 1, code)
 	assert.Contains(t, errs, "the key has revision")
-	c.kill(c.leader())
+	c.Kill(c.Leader())
 	out, errs, code = cli(t, `{"then":[{"do":"put","key":"note/b","value":2},{"do":"get","key":"note/a"}]}`, "store", "txn", "--json", all)
 	require.Zero(t, code, errs)
 	assert.Contains(t, out, `"value": "one"`)
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -17,15 +17,21 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"oxbowbridge/internal/rig"
 )
 
-const patience = 20 * time.Second // how long any condition may take
+const patience = rig.Patience
+
+// What the tests use of the rig by a short name.
+func await(t *testing.T, what string, ok func() bool) { t.Helper(); rig.Await(t, what, ok) }
+
+func freePort(t *testing.T) string { return rig.FreePort(t) }
 
 var program string
 
@@ -81,35 +87,6 @@
 	}
 }
 
-// await waits for a condition.
-func await(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !ok(); time.Sleep(2 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("never happened: ", what)
-		}
-	}
-}
-
-var portsGiven atomic.Uint32
-
-// freePort is an address that nothing listens on. It lies below the ports that
-// the system gives to outgoing connections, which could take it meanwhile, and is
-// given once.
-func freePort(t *testing.T) string {
-	const first, most = 20000, 12000
-	for range most {
-		n := portsGiven.Add(1) + uint32(os.Getpid())*97
-		addr := fmt.Sprintf("127.0.0.1:%d", first+n%most)
-		if ln, err := net.Listen("tcp", addr); err == nil {
-			ln.Close()
-			return addr
-		}
-	}
-	t.Fatal("no port is free")
-	return ""
-}
-
 // service is the program under test.
 type service struct {
 	t    *testing.T
@@ -117,6 +94,7 @@
 	fcgi string
 	ajp  string
 	exit chan error
+	gone chan struct{} // closed after the end
 	cfg  object
 	path string
 	logBuffer
@@ -134,6 +112,9 @@
 	return l.text.Write(b)
 }
 
+// Log is what the process has written.
+func (l *logBuffer) Log() string { return l.log() }
+
 func (l *logBuffer) log() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -162,7 +143,7 @@
 
 // start runs the program with a configuration that change may alter.
 func start(t *testing.T, change func(object)) *service {
-	s := &service{t: t, fcgi: freePort(t), ajp: freePort(t), exit: make(chan error, 1)}
+	s := &service{t: t, fcgi: freePort(t), ajp: freePort(t), exit: make(chan error, 1), gone: make(chan struct{})}
 	cfg := object{"name": "n3", "listen": s.fcgi, "seed": "8c1f30d27a5be964", "stop_ms": 4000,
 		"limits":   object{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"settings": settings(), "ajp": object{"listen": s.ajp, "secret": "s3"}}
@@ -175,7 +156,7 @@
 	s.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+s.path, "BALANCER_NAME="+name)
 	s.cmd.Stderr = s
 	require.NoError(t, s.cmd.Start())
-	go func() { s.exit <- s.cmd.Wait() }()
+	go func() { s.exit <- s.cmd.Wait(); close(s.gone) }()
 	t.Cleanup(func() {
 		s.cmd.Process.Kill()
 		if t.Failed() {
@@ -185,6 +166,15 @@
 	return s
 }
 
+// Signal sends one.
+func (s *service) Signal(sig os.Signal) error { return s.cmd.Process.Signal(sig) }
+
+// Kill ends it, and waits for its end.
+func (s *service) Kill() {
+	s.cmd.Process.Kill()
+	<-s.gone
+}
+
 // ready waits until health checks are good.
 func (s *service) ready() {
 	await(s.t, "a good health check", func() bool {
--- a/tests/store_test.go
+++ b/tests/store_test.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -18,102 +17,38 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	_ "modernc.org/sqlite"
+
+	"oxbowbridge/internal/rig"
 )
 
-// cluster is three services with a store.
+// cluster is services with a store, on the rig.
 type cluster struct {
-	t     *testing.T
-	peers []object
-	dirs  []string
-	sql   object
+	*rig.Cluster
 	nodes []*service
-	view  func(node int) []object // its peers, if they aren't the same for all
 }
 
+// newCluster is three nodes that run.
 func newCluster(t *testing.T, sql object) *cluster {
-	c := newNodes(t, sql)
-	c.begin()
+	c := newNodes(t, 3, 3)
+	if sql != nil {
+		c.Fields["sql"] = sql
+	}
+	c.Begin()
 	return c
 }
 
 // newNodes is a cluster of which nothing runs yet.
-func newNodes(t *testing.T, sql object) *cluster {
-	c := &cluster{t: t, sql: sql, nodes: make([]*service, 3)}
-	for i := range 3 {
-		c.peers = append(c.peers, object{"name": fmt.Sprint("s", i), "raft": freePort(t), "admin": freePort(t)})
-		c.dirs = append(c.dirs, t.TempDir())
+func newNodes(t *testing.T, founders, nodes int) *cluster {
+	c := &cluster{Cluster: rig.NewCluster(t, founders, nodes), nodes: make([]*service, nodes)}
+	c.Launch = func(i int, store map[string]any) rig.Process {
+		c.nodes[i] = start(t, func(cfg object) {
+			cfg["name"], cfg["engine"], cfg["store"] = c.Peers[i].Name, newEngine(t).addr, store
+		})
+		return c.nodes[i]
 	}
 	return c
 }
 
-// begin starts all nodes, and waits for a leader.
-func (c *cluster) begin() {
-	for i := range c.nodes {
-		c.start(i)
-	}
-	c.leader()
-}
-
-func (c *cluster) start(i int) {
-	peers := c.peers
-	if c.view != nil {
-		peers = c.view(i)
-	}
-	c.nodes[i] = start(c.t, func(cfg object) {
-		cfg["name"], cfg["engine"] = c.peers[i]["name"], newEngine(c.t).addr
-		cfg["store"] = object{"node": c.peers[i]["name"], "dir": c.dirs[i], "peers": peers, "sql": c.sql}
-	})
-}
-
-func (c *cluster) kill(i int) {
-	c.nodes[i].cmd.Process.Kill()
-	<-c.nodes[i].exit
-}
-
-// http asks one node.
-func (c *cluster) http(i int, method, path, body string) (int, string) {
-	req, err := http.NewRequest(method, "http://"+c.peers[i]["admin"].(string)+path, bytes.NewReader([]byte(body)))
-	require.NoError(c.t, err)
-	res, err := (&http.Client{Timeout: patience}).Do(req)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer res.Body.Close()
-	text, _ := io.ReadAll(res.Body)
-	return res.StatusCode, strings.TrimSpace(string(text))
-}
-
-// leader waits for one that a running node knows, and for it to say so itself.
-func (c *cluster) leader() (leader int) {
-	await(c.t, "a leader", func() bool {
-		for i := range c.peers {
-			var st struct{ State string }
-			_, text := c.http(i, "GET", "/status", "")
-			if json.Unmarshal([]byte(text), &st) == nil && st.State == "Leader" {
-				leader = i
-				return true
-			}
-		}
-		return false
-	})
-	return leader
-}
-
-func (c *cluster) put(i int, key, value string) {
-	await(c.t, "a write", func() bool {
-		code, _ := c.http(i, "PUT", "/store/"+key, value)
-		return code == 204
-	})
-}
-
-func (c *cluster) has(i int, key, value string) {
-	c.t.Helper()
-	await(c.t, fmt.Sprintf("%s=%s on node %d", key, value, i), func() bool {
-		code, text := c.http(i, "GET", "/store/"+key, "")
-		return code == 200 && text == value
-	})
-}
-
 // TestStore: writes at any node, the loss of the leader, a member that lags, a
 // restart of all, and settings that come from the store.
 func TestStore(t *testing.T) {
@@ -121,48 +56,48 @@
 	path := filepath.Join(t.TempDir(), "record.db")
 	c := newCluster(t, object{"driver": "sqlite", "dsn": "file:" + path + "?_pragma=busy_timeout(5000)"})
 	for i := range 3 {
-		c.put(i, fmt.Sprint("note/", i), `"from here"`)
-		c.has(i, fmt.Sprint("state/s", i), statePattern(c, i))
+		c.Put(i, fmt.Sprint("note/", i), `"from here"`)
+		c.Has(i, fmt.Sprint("state/s", i), statePattern(t, c, i))
 	}
 	for i := range 3 {
-		c.has(i, "note/2", `"from here"`)
+		c.Has(i, "note/2", `"from here"`)
 	}
-	code, text := c.http(0, "PUT", "/store/note/x", "{")
+	code, text := c.HTTP(0, "PUT", "/store/note/x", "{")
 	assert.Equal(t, 400, code, text)
-	lost := c.leader()
-	c.kill(lost)
-	next := c.leader()
+	lost := c.Leader()
+	c.Kill(lost)
+	next := c.Leader()
 	require.NotEqual(t, lost, next)
-	c.put(next, "note/while", `"away"`)
-	code, _ = c.http(next, "DELETE", "/store/note/0", "")
+	c.Put(next, "note/while", `"away"`)
+	code, _ = c.HTTP(next, "DELETE", "/store/note/0", "")
 	assert.Equal(t, 204, code)
-	c.start(lost)
-	c.has(lost, "note/while", `"away"`) // what it missed
-	await(t, "a deletion", func() bool { code, _ := c.http(lost, "GET", "/store/note/0", ""); return code == 404 })
+	c.Start(lost)
+	c.Has(lost, "note/while", `"away"`) // what it missed
+	await(t, "a deletion", func() bool { code, _ := c.HTTP(lost, "GET", "/store/note/0", ""); return code == 404 })
 	set := settings()
 	set["classes"] = []object{{"name": "only-class", "effect": "idempotent", "value": 1, "aim_ns": 1e9, "deadline_ns": 2e9}}
 	text2, err := json.Marshal(set)
 	require.NoError(t, err)
-	c.put(0, "config/settings", string(text2))
+	c.Put(0, "config/settings", string(text2))
 	for i := range 3 {
-		c.kill(i)
+		c.Kill(i)
 	}
 	for i := range 3 {
-		c.start(i)
+		c.Start(i)
 	}
 	for i := range 3 {
-		c.has(i, "note/while", `"away"`)
+		c.Has(i, "note/while", `"away"`)
 		c.nodes[i].ready()
 		w := &world{service: c.nodes[i]}
 		assert.Equal(t, []int{200, 400}, []int{w.status("only-class", "ok"), w.status("nom-submit", "ok")})
 	}
-	c.put(0, "config/log_level", `"error"`)
+	c.Put(0, "config/log_level", `"error"`)
 	await(t, "silence on warnings", func() bool {
 		lines := strings.Count(c.nodes[1].log(), "no such class")
 		(&world{service: c.nodes[1]}).status("nom-submit", "ok")
 		return lines > 0 && strings.Count(c.nodes[1].log(), "no such class") == lines
 	})
-	c.put(0, "config/log_level", `"info"`)
+	c.Put(0, "config/log_level", `"info"`)
 	db, err := sql.Open("sqlite", "file:"+path+"?mode=ro&_pragma=busy_timeout(5000)")
 	require.NoError(t, err)
 	defer db.Close()
@@ -175,20 +110,20 @@
 		c.nodes[i].drain()
 	}
 	for i := range 3 { // all disks are lost: the store of record has it
-		c.dirs[i] = t.TempDir()
-		c.start(i)
+		c.Dirs[i] = t.TempDir()
+		c.Start(i)
 	}
-	c.has(1, "note/while", `"away"`)
+	c.Has(1, "note/while", `"away"`)
 }
 
 // statePattern is what the node itself has put down as its state.
-func statePattern(c *cluster, i int) (text string) {
-	await(c.t, "its state", func() bool {
+func statePattern(t *testing.T, c *cluster, i int) (text string) {
+	await(t, "its state", func() bool {
 		var code int
-		code, text = c.http(i, "GET", fmt.Sprint("/store/state/s", i), "")
+		code, text = c.HTTP(i, "GET", fmt.Sprint("/store/state/s", i), "")
 		return code == 200
 	})
-	require.Contains(c.t, text, `"state":"open"`)
+	require.Contains(t, text, `"state":"open"`)
 	return text
 }
 
@@ -197,22 +132,22 @@
 	t.Parallel()
 	addr := freePort(t)
 	c := newCluster(t, object{"driver": "postgres", "dsn": "postgres://operator@" + addr + "/records?sslmode=disable"})
-	c.put(0, "note/early", `{"n":1}`)
-	lead := c.nodes[c.leader()]
+	c.Put(0, "note/early", `{"n":1}`)
+	lead := c.nodes[c.Leader()]
 	await(t, "a line", func() bool { return strings.Contains(lead.log(), "store of record away") })
 	pg := newPostgres(t, addr)
-	c.put(1, "note/later", `2`)
+	c.Put(1, "note/later", `2`)
 	await(t, "both rows", func() bool { return pg.get("note/early") == `{"n":1}` && pg.get("note/later") == "2" })
 	await(t, "a line", func() bool { return strings.Contains(lead.log(), "store of record back") })
 	for i := range 3 {
-		c.kill(i)
-		c.dirs[i] = t.TempDir()
+		c.Kill(i)
+		c.Dirs[i] = t.TempDir()
 	}
 	for i := range 3 {
-		c.start(i)
+		c.Start(i)
 	}
-	c.has(2, "note/early", `{"n":1}`) // taken over from PostgreSQL
-	c.put(2, "note/early", `3`)
+	c.Has(2, "note/early", `{"n":1}`) // taken over from PostgreSQL
+	c.Put(2, "note/early", `3`)
 	await(t, "the new row", func() bool { return pg.get("note/early") == "3" })
 }
 
--- a/tests/watch_test.go
+++ b/tests/watch_test.go
@@ -24,8 +24,8 @@
 
 func (c *cluster) client() *storeclient.Client {
 	var nodes []string
-	for _, p := range c.peers {
-		nodes = append(nodes, p["admin"].(string))
+	for _, p := range c.Peers {
+		nodes = append(nodes, p.Admin)
 	}
 	return storeclient.New(nodes)
 }
@@ -84,10 +84,10 @@
 	for i := range 150 {
 		if i%50 == 20 {
 			node := i / 50
-			c.kill(node)
+			c.Kill(node)
 			go func() { // catches up meanwhile
 				time.Sleep(200 * time.Millisecond)
-				c.start(node)
+				c.Start(node)
 			}()
 		}
 		value := fmt.Sprint(i)
@@ -137,7 +137,7 @@
 	client := c.client()
 	first, err := client.Put(t.Context(), "w/first", json.RawMessage("0"), nil)
 	require.NoError(t, err)
-	addr := c.peers[0]["admin"].(string)
+	addr := c.Peers[0].Admin
 	watchers := func(n int) func() bool {
 		return func() bool {
 			st, err := client.Status(t.Context(), addr)
@@ -163,7 +163,7 @@
 	assert.Len(t, reads.told(), 162)
 	await(t, "the one that does not read to be cut off", watchers(1))
 
-	code, text := c.http(0, "GET", fmt.Sprint("/watch?from=", first.Revision), "")
+	code, text := c.HTTP(0, "GET", fmt.Sprint("/watch?from=", first.Revision), "")
 	assert.Equal(t, 410, code)
 	var gone struct {
 		Error  string
@@ -178,7 +178,7 @@
 	late := follow(t, client, "w/", typed.Oldest)
 	late.until(t, "w/end")
 	for _, query := range []string{"from=x", "from=-1", "prefix=" + strings.Repeat("p", 300)} {
-		code, _ := c.http(0, "GET", "/watch?"+query, "")
+		code, _ := c.HTTP(0, "GET", "/watch?"+query, "")
 		assert.Equal(t, 400, code, query)
 	}
 
@@ -198,8 +198,8 @@
 	t.Fatal("100 may watch")
 }
 
-func first204(c *cluster, i int) int { code, _ := c.http(i, "PUT", "/store/w/still", "1"); return code }
-func firstGet(c *cluster, i int) int { code, _ := c.http(i, "GET", "/store/w/still", ""); return code }
+func first204(c *cluster, i int) int { code, _ := c.HTTP(i, "PUT", "/store/w/still", "1"); return code }
+func firstGet(c *cluster, i int) int { code, _ := c.HTTP(i, "GET", "/store/w/still", ""); return code }
 
 // TestWatchCommand: the command line lists, follows, and ends well when interrupted.
 func TestWatchCommand(t *testing.T) {
