--- /dev/null
+++ b/internal/durable/faultfs/over.go
@@ -0,0 +1,86 @@
+package faultfs
+
+import (
+	"fmt"
+	"io"
+	"syscall"
+
+	"oxbowbridge/internal/durable/vfs"
+)
+
+// Cues for Over.
+const (
+	Full       = "full"  // files can't grow, nor new ones be made
+	FailsWrite = "write" // every write fails
+	FailsSync  = "sync"  // every sync fails
+)
+
+// Over is another folder, such as a real one, that fails while a cue is given.
+type Over struct {
+	vfs.FS
+	Cue func() string // "" for none; asked at each step that changes something
+}
+
+func (o *Over) fails(op, name string) error {
+	cue := o.Cue()
+	switch {
+	case cue == Full && (op == "create" || op == "write"):
+		return fmt.Errorf("%s %s: %w", op, name, syscall.ENOSPC)
+	case cue == FailsWrite && (op == "create" || op == "write"), cue == FailsSync && op == "sync":
+		return fmt.Errorf("%s %s: %w", op, name, syscall.EIO)
+	}
+	return nil
+}
+
+// Open opens a file.
+func (o *Over) Open(name string) (vfs.File, error) {
+	f, err := o.FS.Open(name)
+	return o.file(f, name, err)
+}
+
+// Create makes a file.
+func (o *Over) Create(name string) (vfs.File, error) {
+	if err := o.fails("create", name); err != nil {
+		return nil, err
+	}
+	f, err := o.FS.Create(name)
+	return o.file(f, name, err)
+}
+
+// SyncDir syncs the folder.
+func (o *Over) SyncDir() error {
+	if err := o.fails("sync", "."); err != nil {
+		return err
+	}
+	return o.FS.SyncDir()
+}
+
+// Lock takes the folder.
+func (o *Over) Lock(name string) (io.Closer, error) { return o.FS.Lock(name) }
+
+func (o *Over) file(f vfs.File, name string, err error) (vfs.File, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &overFile{f, o, name}, nil
+}
+
+type overFile struct {
+	vfs.File
+	o    *Over
+	name string
+}
+
+func (f *overFile) WriteAt(b []byte, at int64) (int, error) {
+	if err := f.o.fails("write", f.name); err != nil {
+		return 0, err
+	}
+	return f.File.WriteAt(b, at)
+}
+
+func (f *overFile) Sync() error {
+	if err := f.o.fails("sync", f.name); err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -65,8 +65,9 @@
 type Own struct {
 	ID       string
 	Cluster  string
-	Fresh    bool // nothing in the folder, and it took no other's place
-	Empty    bool // nothing in the folder
+	Logged   string // the cluster in its log, while Cluster is not known for sure
+	Fresh    bool   // nothing in the folder, and it took no other's place
+	Empty    bool   // nothing in the folder
 	Mark     Mark
 	Config   uint64
 	Members  []string // of the configuration in its log
@@ -91,7 +92,7 @@
 // Decide says what a node may do, and why. words are the answers of others by name; one
 // that is not there has not answered.
 func Decide(own Own, words map[string]Word) (Verdict, string) {
-	if by := Replaced(own.Cluster, words); by != "" {
+	if by := Replaced(cmp.Or(own.Cluster, own.Logged), words); by != "" {
 		return Wait, fmt.Sprintf("this folder to be moved away: its cluster was recovered as %s", by)
 	}
 	if own.Empty {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -118,6 +118,9 @@
 	if v.Pending || v.Settled < p.Settle || c.sound < Quorum(c.voters) {
 		return Step{}
 	}
+	if s := p.bury(v, c); s.Kind != None {
+		return s
+	}
 	if s := p.grow(v, c); s.Kind != None {
 		return s
 	}
@@ -143,6 +146,17 @@
 	return "it was down for too long"
 }
 
+// bury takes the vote of a disk that is gone: it only counts against the majority, and
+// as it can't come back there is nothing to wait for.
+func (p Policy) bury(v View, c census) Step {
+	for _, m := range v.Members {
+		if m.Role == Voter && m.Lost && p.without(c, m) {
+			return Step{Demote, m.ID, whyOut(m)}
+		}
+	}
+	return Step{}
+}
+
 // grow gives a learner the vote that is missing. It comes before its predecessor
 // loses its own, so that no copy is given up before there is another. A sound voter
 // more never costs the majority: that of one more is at most one more.
--- a/internal/rig/cluster.go
+++ b/internal/rig/cluster.go
@@ -209,6 +209,14 @@
 	}
 }
 
+// Fault has a node's folder fail, in a process of the test build: "full", "write",
+// "sync", or "" for not any more.
+func (c *Cluster) Fault(node int, cue string) {
+	if err := os.WriteFile(c.Dirs[node]+".fault", []byte(cue), 0o600); err != nil {
+		c.T.Fatalf("cue: %v", err)
+	}
+}
+
 // Copy copies a running node's folder, while it stands still.
 func (c *Cluster) Copy(node int) (dir string) {
 	c.Stop(node)
--- a/internal/store/cluster.go
+++ b/internal/store/cluster.go
@@ -99,9 +99,9 @@
 			Then: []kv.Op{{Do: "put", Key: kv.ClusterKey, Value: id}}})
 		return err
 	}
-	var id string
-	if err := json.Unmarshal(e.Value, &id); err != nil || id == "" {
-		return fmt.Errorf("%s: %s is no id", kv.ClusterKey, e.Value)
+	id, err := clusterOf(e)
+	if err != nil {
+		return err
 	}
 	if err := l.disk.Keep(kv.ClusterKey, []byte(id)); err != nil {
 		return fmt.Errorf("keep cluster id: %w", err)
@@ -110,3 +110,11 @@
 	s.log.Info("cluster id", zap.String("cluster", id))
 	return nil
 }
+
+// clusterOf reads the key that names the cluster.
+func clusterOf(e kv.Entry) (id string, err error) {
+	if err := json.Unmarshal(e.Value, &id); err != nil || id == "" {
+		return "", fmt.Errorf("%s: %s is no id", kv.ClusterKey, e.Value)
+	}
+	return id, nil
+}
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -59,7 +59,7 @@
 	if err := os.MkdirAll(s.cfg.Dir, 0o750); err != nil {
 		return nil, fmt.Errorf("dir: %w", err)
 	}
-	disk, report, err := s.openFolder(s.cfg.Dir)
+	disk, report, err := openFolder(s.cfg.Dir)
 	if err != nil {
 		return nil, fmt.Errorf("dir: %w", err)
 	}
@@ -111,6 +111,11 @@
 		return nil, fmt.Errorf("mark: %w", err)
 	}
 	f.own.Mark.Starts = f.starts
+	if f.own.Cluster == "" {
+		if f.own.Logged, err = loggedCluster(disk); err != nil {
+			return nil, err
+		}
+	}
 	f.own.Empty = f.own.Mark.LastIndex == 0
 	f.own.Fresh = f.own.Empty && joiner == nil && f.own.Cluster == ""
 	if s.cfg.founder() {
@@ -195,7 +200,7 @@
 	return l, nil
 }
 
-// readClusterID recalls the cluster that the folder is of.
+// readClusterID recalls the cluster that the folder is of, "" if it was not kept yet.
 func readClusterID(disk *raftdisk.Disk) (string, error) {
 	id, err := disk.Kept(kv.ClusterKey)
 	if err != nil {
@@ -203,3 +208,17 @@
 	}
 	return string(id), nil
 }
+
+// loggedCluster is the cluster's id in the log of a node that ended before it had kept
+// it. It may not have been committed.
+func loggedCluster(disk *raftdisk.Disk) (string, error) {
+	s := newState()
+	if err := replay(disk, s); err != nil {
+		return "", fmt.Errorf("cluster id: %w", err)
+	}
+	e, ok := s.get(kv.ClusterKey)
+	if !ok {
+		return "", nil
+	}
+	return clusterOf(e)
+}
--- a/internal/store/life.go
+++ b/internal/store/life.go
@@ -126,14 +126,19 @@
 // decide asks the others until it is known what the disk may do.
 func (s *Store) decide(f *folder) (*folder, identity.Verdict, error) {
 	for {
-		words, news := s.peers.words()
+		words, all, news := s.peers.words()
 		verdict, why := identity.Decide(f.own, words)
+		if !all && verdict != identity.Renew {
+			verdict, why = identity.Wait, "the other nodes to be asked"
+		}
 		if verdict != identity.Wait {
 			s.log.Info("disk looked at", zap.String("id", f.own.ID), zap.Stringer("verdict", verdict), zap.String("why", why))
 		}
 		switch verdict {
 		case identity.Wait:
-			s.waiting(why)
+			if all {
+				s.waiting(why)
+			}
 		case identity.Renew:
 			id, err := renew(f.disk, s.self.Name)
 			if err != nil {
@@ -261,7 +266,7 @@
 			kept = time.Now()
 			s.peers.keep(l)
 		}
-		words, _ := s.peers.words()
+		words, _, _ := s.peers.words()
 		if by := identity.Replaced(s.cluster.id(), words); by != "" {
 			return fmt.Errorf("%w: it is %s now", errReplaced, by)
 		}
@@ -296,7 +301,7 @@
 	if _, in := serverOf(conf, l.id); !in {
 		return true // its own log says so
 	}
-	words, _ := s.peers.words()
+	words, _, _ := s.peers.words()
 	for _, w := range words {
 		if own := s.cluster.id(); own != "" && w.Cluster != own {
 			continue
--- a/internal/store/peers.go
+++ b/internal/store/peers.go
@@ -131,7 +131,14 @@
 func (p *peers) take(name, asker string, self storeapi.Self, old bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err != nil || asker != p.s.id() { // what was said of another disk
+	if asker != p.s.id() {
+		return // it was said of another disk
+	}
+	defer func() {
+		close(p.news)
+		p.news = make(chan struct{})
+	}()
+	if err != nil {
 		h := p.said[name]
 		h.err = err
 		p.said[name] = h
@@ -149,8 +156,6 @@
 		}
 	}
 	p.said[name] = heard{Self: self, at: time.Now(), old: old}
-	close(p.news)
-	p.news = make(chan struct{})
 }
 
 // forget drops what was said of a disk that this node no longer has.
@@ -168,17 +173,23 @@
 	return h, !h.at.IsZero() && time.Since(h.at) < heardTime
 }
 
-// words are the answers that count at a start.
-func (p *peers) words() (words map[string]identity.Word, news <-chan struct{}) {
+// words are the answers that count at a start; all tells whether each node was asked at
+// least once, and answered or could not.
+func (p *peers) words() (words map[string]identity.Word, all bool, news <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	words = map[string]identity.Word{}
+	words, all = map[string]identity.Word{}, true
+	for name := range p.asking {
+		if h := p.said[name]; h.at.IsZero() && h.err == nil {
+			all = false
+		}
+	}
 	for name, h := range p.said {
 		if !h.at.IsZero() && !h.old && time.Since(h.at) < heardTime {
 			words[name] = h.Word
 		}
 	}
-	return words, p.news
+	return words, all, p.news
 }
 
 // of is the most that was seen of a disk.
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
@@ -121,7 +122,7 @@
 		return r, err
 	}
 	all, _ := state.all()
-	r.left = Left{Node: self.Name, ID: f.own.ID, Cluster: cluster, Mark: f.own.Mark, Keys: len(all), Members: f.own.Members,
+	r.left = Left{Node: self.Name, ID: f.own.ID, Cluster: cmp.Or(cluster, f.own.Logged), Mark: f.own.Mark, Keys: len(all), Members: f.own.Members,
 		Voters: f.own.Voters, Seen: map[string]identity.Mark{}}
 	for id, m := range seen {
 		if !slices.Contains(f.own.Members, id) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,7 +16,6 @@
 	"github.com/hashicorp/raft"
 	"go.uber.org/zap"
 
-	"oxbowbridge/internal/durable"
 	"oxbowbridge/internal/identity"
 	"oxbowbridge/internal/kv"
 	"oxbowbridge/internal/raftdisk"
@@ -53,8 +51,6 @@
 	prover *prover
 	writes writes
 
-	openFolder func(dir string) (*raftdisk.Disk, *durable.Report, error)
-
 	ctx    context.Context
 	stop   context.CancelFunc
 	ended  chan struct{}
@@ -74,7 +70,7 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	s := &Store{cfg: cfg, log: log, state: newState(), openFolder: openFolder, ended: make(chan struct{})}
+	s := &Store{cfg: cfg, log: log, state: newState(), ended: make(chan struct{})}
 	s.self, _ = cfg.self()
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.prover = &prover{ask: s.committed}
@@ -91,7 +87,6 @@
 		close(s.ended)
 		return err
 	}
-	s.peers.follow(nil)
 	if s.cfg.SQL.Driver != "" {
 		s.mirror = startMirror(s)
 		s.closed = append(s.closed, s.mirror.close)
@@ -353,8 +348,4 @@
 	}
 }
 
-// openFolder opens a real one.
-func openFolder(dir string) (*raftdisk.Disk, *durable.Report, error) { return raftdisk.Open(dir) }
-
-var _ io.Closer = (*wire)(nil)
 var _ raft.StreamLayer = (*wire)(nil)
--- a/tests/disks_test.go
+++ b/tests/disks_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"oxbowbridge/internal/durable/faultfs"
 	"oxbowbridge/internal/rig"
 )
 
@@ -141,6 +142,7 @@
 		}
 		require.True(t, c.Ask(lead, "/self?from=x", &before))
 		await(t, "the others to have seen it", func() bool { return mark(third, old) >= before.Mark.LastIndex })
+		was := c.id(old)
 		c.Kill(old)
 		c.Bring(old, then)
 		if cut {
@@ -160,6 +162,11 @@
 			c.Heal()
 			c.Start(lead)
 		}
+		await(t, "the older disk to be forgotten", func() bool {
+			m := c.Members(lead)
+			_, there := m[was]
+			return len(m) > 0 && !there
+		})
 		c.Strong(0, 1, 2)
 		for i := range 3 {
 			c.Has(i, "note/age", `"new"`)
@@ -326,3 +333,90 @@
 		}
 	}
 }
+
+// TestDiskFails: a disk that is full, or fails a write or a sync, costs its node the
+// leadership and its vote, not the process; the others go on, and the node comes back by
+// itself once the disk works again.
+func TestDiskFails(t *testing.T) {
+	t.Parallel()
+	build, err := withFaults()
+	require.NoError(t, err)
+	c := newNodes(t, 3, 3)
+	c.build = build
+	c.Begin()
+	n := 0
+	for _, cue := range []string{faultfs.Full, faultfs.FailsWrite, faultfs.FailsSync} {
+		for _, leads := range []bool{true, false} {
+			lead := c.Leader()
+			bad, good := lead, (lead+1)%3
+			if !leads {
+				bad, good = (lead+1)%3, lead
+			}
+			lines := strings.Count(c.nodes[bad].log(), "gave up its vote")
+			c.Fault(bad, cue)
+			await(t, "a line on its disk", func() bool {
+				c.HTTP(good, "PUT", "/store/poke", "1")
+				return strings.Count(c.nodes[bad].log(), "gave up its vote") > lines
+			})
+			c.Leader(bad)
+			c.Put(good, fmt.Sprint("note/", n), fmt.Sprint(n))
+			n++
+			code, text := c.HTTP(bad, "GET", "/store/note/0", "")
+			assert.Equal(t, 503, code, "%s, leader %v: %s", cue, leads, text)
+			c.nodes[bad].ready() // it still serves its callers
+			c.Fault(bad, "")
+			c.Strong(0, 1, 2)
+			await(t, "all keys", func() bool { return filled(t, c, bad, "note", n) })
+		}
+	}
+}
+
+// TestRecover: two of three are lost for good. The one that is left shows what it has,
+// wants the cluster's id, and is a cluster of one; the two, brought back, stay out of it
+// and serve nothing, and new ones join.
+func TestRecover(t *testing.T) {
+	t.Parallel()
+	c := newNodes(t, 3, 3)
+	c.Begin()
+	fill(c, 0, "note", 20)
+	await(t, "its keys", func() bool { return filled(t, c, 2, "note", 20) })
+	var st struct{ Cluster string }
+	await(t, "the cluster's id", func() bool { return c.Ask(2, "/status", &st) && st.Cluster != "" })
+	config := c.nodes[2].path
+	_, errs, code := cli(t, "", "store", "recover", config)
+	assert.Equal(t, 1, code, "it runs")
+	assert.Contains(t, errs, "in use")
+	c.KillAll()
+	out, errs, code := cli(t, "", "store", "recover", config)
+	require.Zero(t, code, errs)
+	assert.Contains(t, out, st.Cluster)
+	assert.Contains(t, out, "MAY BE MISSING")
+	_, errs, code = cli(t, "", "store", "recover", config, "--cluster", "another")
+	assert.Equal(t, 1, code)
+	assert.Contains(t, errs, "not confirmed")
+	c.Start(2)
+	await(t, "it to wait", func() bool { return strings.Contains(c.nodes[2].log(), "must say that this disk is not older") })
+	c.Kill(2)
+	_, errs, code = cli(t, "", "store", "recover", config, "--cluster", st.Cluster)
+	require.Zero(t, code, errs)
+	c.Start(2)
+	c.Strong(2)
+	assert.True(t, filled(t, c, 2, "note", 20))
+	c.Put(2, "note/20", "20")
+	c.Start(0)
+	c.Start(1)
+	for i := range 2 {
+		await(t, "a line", func() bool { return strings.Contains(c.nodes[i].log(), "recovered as") })
+		await(t, "no answer", func() bool { code, _ := c.HTTP(i, "GET", "/store/note/1", ""); return code == 503 })
+	}
+	c.Strong(2)
+	for i := range 2 {
+		c.Kill(i)
+		c.Wipe(i)
+		c.Start(i)
+	}
+	c.Strong(0, 1, 2)
+	for i := range 3 {
+		await(t, "all keys", func() bool { return filled(t, c, i, "note", 21) })
+	}
+}
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -52,6 +52,16 @@
 	os.Exit(code)
 }
 
+// withFaults is the program of the test build, whose folders fail on cue.
+var withFaults = sync.OnceValues(func() (string, error) {
+	path := filepath.Join(filepath.Dir(program), "faults")
+	out, err := exec.Command("go", "build", "-tags", "faults", "-o", path, "../cmd/oxbowbridge").CombinedOutput()
+	if err != nil {
+		err = fmt.Errorf("%w: %s", err, out)
+	}
+	return path, err
+})
+
 // deployed is the value of a key of the deploy file: the tests play the program
 // that it builds.
 func deployed(key string) string {
@@ -89,14 +99,15 @@
 
 // service is the program under test.
 type service struct {
-	t    *testing.T
-	cmd  *exec.Cmd
-	fcgi string
-	ajp  string
-	exit chan error
-	gone chan struct{} // closed after the end
-	cfg  object
-	path string
+	t       *testing.T
+	cmd     *exec.Cmd
+	fcgi    string
+	ajp     string
+	exit    chan error
+	program string        // another build
+	gone    chan struct{} // closed after the end
+	cfg     object
+	path    string
 	logBuffer
 }
 
@@ -142,8 +153,11 @@
 }
 
 // start runs the program with a configuration that change may alter.
-func start(t *testing.T, change func(object)) *service {
-	s := &service{t: t, fcgi: freePort(t), ajp: freePort(t), exit: make(chan error, 1), gone: make(chan struct{})}
+func start(t *testing.T, change func(object)) *service { return startBuild(t, "", change) }
+
+// startBuild runs another build of the program.
+func startBuild(t *testing.T, build string, change func(object)) *service {
+	s := &service{t: t, program: build, fcgi: freePort(t), ajp: freePort(t), exit: make(chan error, 1), gone: make(chan struct{})}
 	cfg := object{"name": "n3", "listen": s.fcgi, "seed": "8c1f30d27a5be964", "stop_ms": 4000,
 		"limits":   object{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"settings": settings(), "ajp": object{"listen": s.ajp, "secret": "s3"}}
@@ -152,7 +166,7 @@
 	cfg["name"] = "in-the-file" // the environment's goes before it
 	s.cfg, s.path = cfg, filepath.Join(t.TempDir(), "config.json")
 	s.writeConfig()
-	s.cmd = exec.Command(program)
+	s.cmd = exec.Command(cmp.Or(s.program, program))
 	s.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+s.path, "BALANCER_NAME="+name)
 	s.cmd.Stderr = s
 	require.NoError(t, s.cmd.Start())
--- a/tests/store_test.go
+++ b/tests/store_test.go
@@ -25,6 +25,7 @@
 type cluster struct {
 	*rig.Cluster
 	nodes []*service
+	build string // another one of the program
 }
 
 // newCluster is three nodes that run.
@@ -41,7 +42,7 @@
 func newNodes(t *testing.T, founders, nodes int) *cluster {
 	c := &cluster{Cluster: rig.NewCluster(t, founders, nodes), nodes: make([]*service, nodes)}
 	c.Launch = func(i int, store map[string]any) rig.Process {
-		c.nodes[i] = start(t, func(cfg object) {
+		c.nodes[i] = startBuild(t, c.build, func(cfg object) {
 			cfg["name"], cfg["engine"], cfg["store"] = c.Peers[i].Name, newEngine(t).addr, store
 		})
 		return c.nodes[i]
