Store: more entries share a sync; the measurements run on the rig

Examined: a CPU profile of the leader at 64 clients: 87% of one core of its two; net/http 51%, Raft 22%, system calls 22%, reading entries from JSON 3%, so a cheaper form of the entries is not made. Change: up to 512 entries share a sync and a message (64 before), taken from a buffered queue. bench/store runs on the rig, and measures outages by SIGKILL and SIGSTOP, and what a lagging node and a lost disk cost.

--- a/bench/store/main.go
+++ b/bench/store/main.go
@@ -3,8 +3,9 @@
 //
 //	go run ./bench/store -bin now=bin/oxbowbridge -bin before=/tmp/before/oxbowbridge
 //
-// It prints acknowledged writes a second, reads a second at a follower, and the time
-// without a leader after a SIGKILL of it, as Markdown.
+// It prints acknowledged writes a second, reads a second at a follower, the time from the
+// loss of the leader to the next acknowledged write, and, of builds that know members,
+// what a node that has missed much or lost its disk costs, as Markdown.
 package main
 
 import (
@@ -14,7 +15,6 @@
 	"fmt"
 	"io"
 	"log"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -24,6 +24,10 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"oxbowbridge/internal/rig"
 )
 
 type build struct{ name, path string }
@@ -41,201 +45,236 @@
 	return nil
 }
 
-var web = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 128}}
+// bench is what all measurements share.
+type bench struct {
+	config  []byte
+	span    time.Duration
+	outages int
+	behind  int
+	web     *http.Client
+	order   []string
+	figures map[string]*hdrhistogram.Histogram
+}
+
+// note adds a value to a figure.
+func (b *bench) note(name string, v float64) {
+	if b.figures[name] == nil {
+		b.order = append(b.order, name)
+		b.figures[name] = hdrhistogram.New(1, 10_000_000, 3)
+	}
+	b.figures[name].RecordValue(int64(v))
+}
 
 func main() {
 	log.SetFlags(0)
 	var bins builds
+	b := &bench{figures: map[string]*hdrhistogram.Histogram{}, web: &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 128}}}
 	config := flag.String("config", "examples/config.json", "configuration without a store")
-	span := flag.Duration("span", 2*time.Second, "length of each measurement")
+	flag.DurationVar(&b.span, "span", 2*time.Second, "length of each load")
 	rounds := flag.Int("rounds", 3, "how often")
+	flag.IntVar(&b.outages, "outages", 4, "how often the leader is killed, and stopped, in a round")
+	flag.IntVar(&b.behind, "behind", 0, "writes that a node misses before it is measured how it comes back; 0 leaves that out")
 	flag.Var(&bins, "bin", "a build, NAME=PATH; may be given again")
 	flag.Parse()
 	if len(bins) == 0 {
 		log.Fatal("name a build with -bin")
 	}
-	text, err := os.ReadFile(*config)
-	if err != nil {
+	var err error
+	if b.config, err = os.ReadFile(*config); err != nil {
 		log.Fatal(err)
 	}
-	figures, order := map[string][]float64{}, []string{}
-	note := func(name string, v float64) {
-		if figures[name] == nil {
-			order = append(order, name)
-		}
-		figures[name] = append(figures[name], v)
-	}
 	for range *rounds {
-		for _, b := range bins {
-			if err := measure(b, text, *span, note); err != nil {
-				log.Fatalf("%s: %v", b.name, err)
+		for _, x := range bins {
+			if err := b.measure(x); err != nil {
+				log.Fatalf("%s: %v", x.name, err)
 			}
 		}
 	}
-	fmt.Print("| measured | build | median | least | most |\n| --- | --- | --- | --- | --- |\n")
-	slices.SortStableFunc(order, func(a, b string) int { // builds beside each other
-		x, _, _ := strings.Cut(a, "|")
-		y, _, _ := strings.Cut(b, "|")
+	slices.SortStableFunc(b.order, func(x, y string) int { // builds beside each other
+		x, _, _ = strings.Cut(x, "|")
+		y, _, _ = strings.Cut(y, "|")
 		return strings.Compare(x, y)
 	})
-	for _, name := range order {
-		v := figures[name]
-		slices.Sort(v)
-		fmt.Printf("| %s | %.0f | %.0f | %.0f |\n", strings.Replace(name, "|", " | ", 1), v[len(v)/2], v[0], v[len(v)-1])
+	fmt.Print("| measured | build | times | median | p99 | least | most |\n| --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, name := range b.order {
+		h := b.figures[name]
+		fmt.Printf("| %s | %d | %d | %d | %d | %d |\n", strings.Replace(name, "|", " | ", 1), h.TotalCount(), h.ValueAtQuantile(50),
+			h.ValueAtQuantile(99), h.Min(), h.Max())
 	}
 }
 
-// trio is three daemons of one build.
-type trio struct {
-	bin   string
+// tool is the rig's host here.
+type tool struct {
 	dir   string
-	admin []string
-	files []string
-	procs []*exec.Cmd
+	ended []func()
 }
 
-// free is an address that nothing listens on, below the ports that the system gives
-// to outgoing connections, and given once.
-func free() string {
-	const first, most = 20000, 12000
-	for range most {
-		addr := fmt.Sprintf("127.0.0.1:%d", first+(int(given.Add(1))+os.Getpid()*97)%most)
-		if ln, err := net.Listen("tcp", addr); err == nil {
-			ln.Close()
-			return addr
-		}
+func (t *tool) Helper()                         {}
+func (t *tool) Logf(format string, args ...any) { log.Printf(format, args...) }
+func (t *tool) Cleanup(do func())               { t.ended = append(t.ended, do) }
+
+// Fatalf ends the measurement of this build.
+func (t *tool) Fatalf(format string, args ...any) { panic(fmt.Errorf(format, args...)) }
+
+func (t *tool) TempDir() string {
+	dir, err := os.MkdirTemp(t.dir, "")
+	if err != nil {
+		panic(err)
 	}
-	log.Fatal("no port is free")
-	return ""
+	return dir
 }
 
-var given atomic.Int64
+// process is one daemon.
+type process struct{ *exec.Cmd }
 
-func measure(b build, config []byte, span time.Duration, note func(string, float64)) error {
-	t := &trio{bin: b.path}
-	var err error
+func (p process) Signal(sig os.Signal) error { return p.Process.Signal(sig) }
+func (p process) Kill()                      { p.Process.Kill(); p.Wait() }
+func (p process) Log() string                { return "" }
+
+func (b *bench) measure(x build) (err error) {
+	t := &tool{}
 	if t.dir, err = os.MkdirTemp("", "store-bench"); err != nil {
 		return err
 	}
 	defer os.RemoveAll(t.dir)
-	defer t.stop()
-	if err := t.start(config); err != nil {
-		return err
-	}
-	lead, err := t.leader(-1)
-	if err != nil {
-		return err
-	}
+	defer func() {
+		for _, do := range t.ended {
+			do()
+		}
+		if r := recover(); r != nil {
+			err = fmt.Errorf("%v", r)
+		}
+	}()
+	c := rig.NewCluster(t, 3, 3)
+	c.Launch = func(node int, store map[string]any) rig.Process { return b.launch(t, c, x, node, store) }
+	defer c.KillAll()
+	c.Begin()
+	lead := c.Leader()
 	for _, clients := range []int{1, 8, 64} {
-		n, err := load(clients, span, func(c, i int) error {
-			return ask("PUT", "http://"+t.admin[lead]+fmt.Sprintf("/store/k%d", c), fmt.Sprintf(`"%0100d"`, i))
-		})
+		n, err := b.load(clients, b.span, func(id, i int) error { return b.put(c, lead, fmt.Sprint("k", id), fmt.Sprintf(`"%0100d"`, i)) })
 		if err != nil {
 			return err
 		}
-		note(fmt.Sprintf("writes/s, %02d clients|%s", clients, b.name), n)
+		b.note(fmt.Sprintf("writes/s, %02d clients|%s", clients, x.name), n)
 	}
 	for _, query := range []string{"", "?local=1"} {
-		n, err := load(8, span, func(c, _ int) error {
-			return ask("GET", "http://"+t.admin[(lead+1)%3]+fmt.Sprintf("/store/k%d", c)+query, "")
+		n, err := b.load(8, b.span, func(id, _ int) error {
+			return b.ask("GET", "http://"+c.Peers[(lead+1)%3].Admin+fmt.Sprint("/store/k", id, query), "")
 		})
 		if err != nil {
 			return err
 		}
-		note(fmt.Sprintf("reads/s at a follower, 8 clients, GET%s|%s", query, b.name), n)
+		b.note(fmt.Sprintf("reads/s at a follower, 8 clients, GET%s|%s", query, x.name), n)
 	}
-	for range 4 {
-		t.procs[lead].Process.Kill()
-		t.procs[lead].Wait()
-		began, was := time.Now(), lead
-		for end := began.Add(20 * time.Second); ; {
-			if err = ask("PUT", "http://"+t.admin[(was+1)%3]+"/store/after", "1"); err == nil || time.Now().After(end) {
-				break
-			}
-			time.Sleep(2 * time.Millisecond)
-		}
-		if err != nil {
-			return err
-		}
-		note("ms from the leader's SIGKILL to a write|"+b.name, float64(time.Since(began).Milliseconds()))
-		if err := t.run(was); err != nil {
-			return err
-		}
-		if lead, err = t.leader(was); err != nil {
-			return err
-		}
-		time.Sleep(time.Second)
+	for range b.outages {
+		b.outage(c, "ms from the leader's SIGKILL to a write|"+x.name, c.Kill, c.Start)
+		b.outage(c, "ms from the leader's SIGSTOP to a write|"+x.name, c.Stop, c.Continue)
+	}
+	if b.behind > 0 && len(c.Members(c.Leader())) == 3 {
+		return b.comeBack(c, x)
 	}
 	return nil
 }
 
-func (t *trio) start(config []byte) error {
-	var peers []map[string]string
-	for i := range 3 {
-		t.admin = append(t.admin, free())
-		peers = append(peers, map[string]string{"name": fmt.Sprint("s", i), "raft": free(), "admin": t.admin[i]})
+func (b *bench) launch(t *tool, c *rig.Cluster, x build, node int, store map[string]any) rig.Process {
+	var cfg map[string]any
+	if err := json.Unmarshal(b.config, &cfg); err != nil {
+		t.Fatalf("configuration: %v", err)
 	}
-	for i := range 3 {
-		var c map[string]any
-		if err := json.Unmarshal(config, &c); err != nil {
-			return err
-		}
-		c["name"], c["listen"], c["engine"] = fmt.Sprint("s", i), free(), free()
-		c["store"] = map[string]any{"node": fmt.Sprint("s", i), "dir": filepath.Join(t.dir, fmt.Sprint(i)), "peers": peers}
-		text, err := json.Marshal(c)
-		if err != nil {
-			return err
-		}
-		t.files = append(t.files, filepath.Join(t.dir, fmt.Sprint(i, ".json")))
-		if err := os.WriteFile(t.files[i], text, 0o600); err != nil {
-			return err
-		}
-		t.procs = append(t.procs, nil)
-		if err := t.run(i); err != nil {
-			return err
-		}
+	cfg["name"], cfg["listen"], cfg["engine"], cfg["store"] = c.Peers[node].Name, rig.FreePort(t), rig.FreePort(t), store
+	text, err := json.Marshal(cfg)
+	path := filepath.Join(t.dir, fmt.Sprint(node, ".json"))
+	if err == nil {
+		err = os.WriteFile(path, text, 0o600)
 	}
-	return nil
-}
-
-func (t *trio) run(i int) error {
-	t.procs[i] = exec.Command(t.bin)
-	t.procs[i].Env = append(os.Environ(), "BALANCER_CONFIG="+t.files[i])
-	return t.procs[i].Start()
+	cmd := exec.Command(x.path)
+	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path)
+	if err == nil {
+		err = cmd.Start()
+	}
+	if err != nil {
+		t.Fatalf("start: %v", err)
+	}
+	return process{cmd}
 }
 
-func (t *trio) stop() {
-	for _, p := range t.procs {
-		p.Process.Kill()
-		p.Wait()
+// outage loses the leader, and measures until a write at another node is acknowledged.
+func (b *bench) outage(c *rig.Cluster, name string, lose, back func(int)) {
+	lead := c.Leader()
+	time.Sleep(300 * time.Millisecond) // it has told the others
+	lose(lead)
+	began := time.Now()
+	for n := 1; b.put(c, (lead+1+n%2)%3, "after", "1") != nil; n++ {
+		time.Sleep(2 * time.Millisecond)
 	}
+	b.note(name, float64(time.Since(began).Milliseconds()))
+	back(lead)
+	rig.Await(c.T, "the node to be back", func() bool { return c.Ask(lead, "/store/after", new(int)) })
 }
 
-// leader waits for a node other than one that says that it leads.
-func (t *trio) leader(not int) (int, error) {
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		for i, addr := range t.admin {
-			res, err := web.Get("http://" + addr + "/status")
-			if err != nil || i == not {
-				continue
-			}
-			var st struct{ State string }
-			err = json.NewDecoder(res.Body).Decode(&st)
-			res.Body.Close()
-			if err == nil && st.State == "Leader" {
-				return i, nil
+// comeBack has a node miss writes and return, and another one lose its disk, while a
+// client goes on.
+func (b *bench) comeBack(c *rig.Cluster, x build) error {
+	lead := c.Leader()
+	lost := (lead + 1) % 3
+	during := func(name string, do func()) {
+		stop, ended := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(ended)
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				began := time.Now()
+				if b.put(c, lead, "beside", "1") == nil {
+					b.note("us of a write "+name+"|"+x.name, float64(time.Since(began).Microseconds()))
+				}
+				time.Sleep(2 * time.Millisecond)
 			}
+		}()
+		do()
+		close(stop)
+		<-ended
+	}
+	during("at rest", func() { time.Sleep(b.span) })
+	c.Kill(lost)
+	var left atomic.Int64
+	left.Store(int64(b.behind))
+	if _, err := b.load(64, time.Hour, func(id, i int) error {
+		if left.Add(-1) < 0 {
+			return io.EOF
 		}
+		return b.put(c, lead, fmt.Sprint("k", id), fmt.Sprintf(`"%0100d"`, i))
+	}); !errors.Is(err, io.EOF) {
+		return err
 	}
-	return 0, errors.New("no leader")
+	during("while a node catches up", func() {
+		began := time.Now()
+		c.Start(lost)
+		rig.Await(c.T, "it to be up to date", func() bool { return c.Ask(lost, "/store/beside", new(int)) })
+		b.note(fmt.Sprintf("ms from the start of a node that misses %d writes to a fresh read|%s", b.behind, x.name), float64(time.Since(began).Milliseconds()))
+	})
+	during("while a lost disk is replaced", func() {
+		began := time.Now()
+		c.Replace(lost)
+		c.Strong(0, 1, 2)
+		b.note("ms from a lost disk to full strength|"+x.name, float64(time.Since(began).Milliseconds()))
+	})
+	return nil
+}
+
+func (b *bench) put(c *rig.Cluster, node int, key, value string) error {
+	return b.ask("PUT", "http://"+c.Peers[node].Admin+"/store/"+key, value)
 }
 
-func ask(method, url, body string) error {
+func (b *bench) ask(method, url, body string) error {
 	req, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
 		return err
 	}
-	res, err := web.Do(req)
+	res, err := b.web.Do(req)
 	if err != nil {
 		return err
 	}
@@ -248,15 +287,13 @@
 }
 
 // load is how often a second so many clients do something.
-func load(clients int, span time.Duration, do func(client, i int) error) (float64, error) {
+func (b *bench) load(clients int, span time.Duration, do func(client, i int) error) (float64, error) {
 	var n atomic.Int64
 	var wg sync.WaitGroup
 	failed := make(chan error, clients)
 	began := time.Now()
 	for c := range clients {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
+		wg.Go(func() {
 			for i := 0; time.Since(began) < span; i++ {
 				if err := do(c, i); err != nil {
 					failed <- err
@@ -264,7 +301,7 @@
 				}
 				n.Add(1)
 			}
-		}()
+		})
 	}
 	wg.Wait()
 	took := time.Since(began)
--- a/internal/store/life.go
+++ b/internal/store/life.go
@@ -21,6 +21,7 @@
 const (
 	electionTime   = 500 * time.Millisecond
 	snapshotAfter  = 1024 // log entries
+	batchMost      = 512  // entries that share a sync and a message
 	transportConns = 3
 	transportTime  = 2 * time.Second
 	joinEvery      = 500 * time.Millisecond
@@ -174,6 +175,7 @@
 	rc.LocalID = raft.ServerID(l.id)
 	rc.HeartbeatTimeout, rc.ElectionTimeout, rc.LeaderLeaseTimeout = electionTime, electionTime, electionTime
 	rc.SnapshotThreshold = snapshotAfter
+	rc.BatchApplyCh, rc.MaxAppendEntries = true, batchMost
 	rc.ShutdownOnRemove = false // this node decides itself what becomes of it
 	rc.Logger = hclog.New(&hclog.LoggerOptions{Level: hclog.Error, Output: out, DisableTime: true})
 	transport := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: w, MaxPool: transportConns,
