--- a/tests/disks_test.go
+++ b/tests/disks_test.go
@@ -3,16 +3,20 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/hashicorp/raft"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"oxbowbridge/internal/durable/faultfs"
+	"oxbowbridge/internal/raftdisk"
 	"oxbowbridge/internal/rig"
 )
 
@@ -420,3 +424,70 @@
 		await(t, "all keys", func() bool { return filled(t, c, i, "note", 21) })
 	}
 }
+
+// TestDamagedFolder: a node whose folder misses what was acknowledged sets it aside and
+// is a new member; it serves its callers all the while.
+func TestDamagedFolder(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	fill(c, 0, "note", 30)
+	await(t, "its keys", func() bool { return filled(t, c, 1, "note", 30) })
+	was := c.id(1)
+	c.Kill(1)
+	logs, err := filepath.Glob(filepath.Join(c.Dirs[1], "*.log"))
+	require.NoError(t, err)
+	require.NotEmpty(t, logs)
+	text, err := os.ReadFile(logs[0])
+	require.NoError(t, err)
+	for i := range 64 {
+		text[len(text)/3+i] ^= 0xff // in the middle, with good entries behind it
+	}
+	require.NoError(t, os.WriteFile(logs[0], text, 0o600))
+	c.Start(1)
+	await(t, "a line", func() bool { return strings.Contains(c.nodes[1].log(), "it is set aside") })
+	await(t, "the old disk to be forgotten", func() bool {
+		m := c.Members(0)
+		_, there := m[was]
+		return len(m) > 0 && !there
+	})
+	c.Strong(0, 1, 2)
+	assert.DirExists(t, c.Dirs[1]+".refused-1")
+	await(t, "all keys", func() bool { return filled(t, c, 1, "note", 30) })
+}
+
+// TestFolderOfTheVersionBefore: folders whose members are names alone start, and one by
+// one, while all is well, each member becomes its disk; nothing is lost on the way.
+func TestFolderOfTheVersionBefore(t *testing.T) {
+	t.Parallel()
+	c := newNodes(t, 3, 3)
+	var conf raft.Configuration
+	for _, p := range c.Peers {
+		conf.Servers = append(conf.Servers, raft.Server{ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Raft)})
+	}
+	for i, p := range c.Peers {
+		disk, _, err := raftdisk.Open(c.Dirs[i])
+		require.NoError(t, err)
+		rc := raft.DefaultConfig()
+		rc.LocalID, rc.LogLevel = raft.ServerID(p.Name), "error"
+		_, wire := raft.NewInmemTransport("")
+		require.NoError(t, raft.BootstrapCluster(rc, disk, disk, disk, wire, conf))
+		require.NoError(t, disk.Close())
+	}
+	c.Begin()
+	fill(c, 0, "note", 20)
+	await(t, "three disks in place of three names", func() bool {
+		m, disks := c.Members(c.Leader()), 0
+		for id, x := range m {
+			if strings.Contains(id, "@") && x.Role == "voter" {
+				disks++
+			}
+		}
+		return disks == 3 && len(m) == 3
+	})
+	for i := range 3 {
+		await(t, "all keys", func() bool { return filled(t, c, i, "note", 20) })
+	}
+	c.Replace(0)
+	c.Strong(0, 1, 2)
+	assert.True(t, filled(t, c, 0, "note", 20))
+}
--- a/tests/durable_test.go
+++ b/tests/durable_test.go
@@ -43,6 +43,10 @@
 	out, _, code := cli(t, "", "version")
 	assert.Zero(t, code)
 	assert.Contains(t, out, "oxbowbridge")
+	for _, file := range []string{"operator.json", "store-standby.json"} {
+		_, errs, code := cli(t, "", "config", "check", "../deploy/"+file)
+		assert.Zero(t, code, errs)
+	}
 	out, _, code = cli(t, "", "config", "check", "../examples/config.json")
 	assert.Zero(t, code)
 	assert.Equal(t, "ok\n", out)
--- a/tests/faults_test.go
+++ b/tests/faults_test.go
@@ -110,6 +110,14 @@
 	})
 }
 
+// change has a member removed, or let in again.
+func (c *cluster) change(method string, node int) {
+	rig.Await(c.T, "a change of the members", func() bool {
+		code, _ := c.HTTP(c.Leader(), method, "/members/"+c.Peers[node].Name, "")
+		return code == 204
+	})
+}
+
 // outage is how long no write was acknowledged after a fault.
 type outage struct {
 	fault string
@@ -204,6 +212,22 @@
 		{Name: "resets in bursts", Do: all(around(rig.Mode{Burst: 60 * time.Millisecond, Every: 300 * time.Millisecond}, rig.Mode{})), Undo: all(heal)},
 		{Name: "follower on 20 kB/s", Do: func(i int) { w.Around((i+1)%3, rig.Mode{Rate: 20 << 10}, rig.Mode{Rate: 20 << 10}) }, Undo: func(i int) { heal((i + 1) % 3) }},
 	}
+	strong := func(int) { w.Strong(0, 1, 2) }
+	older := map[int]string{}
+	faults = append(faults,
+		rig.Fault{Name: "leader's disk lost", Leader: true, Do: func(i int) { w.Kill(i); w.Wipe(i); w.Start(i) }, Undo: strong},
+		rig.Fault{Name: "follower's disk lost", Do: func(i int) { w.Replace((i + 1) % 3) }, Undo: strong},
+		rig.Fault{Name: "folder goes back", Do: func(i int) { older[(i+1)%3] = w.Copy((i + 1) % 3) }, Undo: func(i int) {
+			i = (i + 1) % 3
+			w.Kill(i)
+			w.Bring(i, older[i])
+			w.Start(i)
+			strong(i)
+		}},
+		rig.Fault{Name: "member removed, and let in again", Do: func(i int) { w.change("DELETE", (i+1)%3) }, Undo: func(i int) {
+			w.change("PUT", (i+1)%3)
+			strong(i)
+		}})
 	plan := rig.NewSchedule(*seed, 3, 1500*time.Millisecond, faults...)
 	var outages []outage
 	count := map[string]int{}
