Rig: histories and the prober; a wiped node gives no vote for the disk that it had

Need: the rig was to hold the history with begin and end of each call, and the greeting had no test that fails without it. Change: history, checker and prober move from tests/ to internal/rig. TestWipedDoesNotVote: one that is behind and never stopped asks for votes at the address of a disk that is gone.

--- a/tests/disks_test.go
+++ b/tests/disks_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/anishathalye/porcupine"
 	"github.com/hashicorp/raft"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -80,6 +79,37 @@
 	}
 }
 
+// TestWipedDoesNotVote: one that is behind and never stopped asks for votes at the address
+// of a disk that is gone. The new disk there gives none for the old one.
+func TestWipedDoesNotVote(t *testing.T) {
+	t.Parallel()
+	c := newWired(t)
+	lead := c.Leader()
+	lost, behind := (lead+1)%3, (lead+2)%3
+	fill(c, lead, "early", 5)
+	c.Around(behind, rig.Mode{Cut: true}, rig.Mode{Cut: true})
+	fill(c, lead, "note", 20)
+	c.Kill(lead)
+	c.Kill(lost)
+	c.Wipe(lost)
+	c.Start(lost)
+	c.Heal()
+	await(t, "the new disk to join", func() bool { return strings.Contains(c.nodes[lost].log(), `"verdict":"join"`) })
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
+		for _, i := range []int{lost, behind} {
+			code, text := c.HTTP(i, "GET", "/store/note/1", "")
+			require.Equal(t, 503, code, text)
+			code, text = c.HTTP(i, "PUT", "/store/note/1", `"new"`)
+			require.Equal(t, 503, code, text)
+		}
+	}
+	c.Start(lead)
+	c.Strong(0, 1, 2)
+	for i := range 3 {
+		await(t, "all keys", func() bool { return filled(t, c, i, "note", 20) && filled(t, c, i, "early", 5) })
+	}
+}
+
 // TestEachDiskWiped: one voter after the other loses its disk while clients go on, until
 // none of the first disks is left. Nothing acknowledged is lost.
 func TestEachDiskWiped(t *testing.T) {
@@ -87,10 +117,10 @@
 	c := newCluster(t, nil)
 	fill(c, 0, "note", 20)
 	first := c.Members(0)
-	h, stop := &history{began: time.Now()}, make(chan struct{})
+	h, stop := rig.NewHistory(), make(chan struct{})
 	var wg sync.WaitGroup
 	for id := range 3 {
-		wg.Go(func() { h.client(c, id, stop) })
+		wg.Go(func() { h.Client(c.Cluster, id, stop) })
 	}
 	for i := range 3 {
 		c.Replace(i)
@@ -101,8 +131,7 @@
 	for id := range c.Members(0) {
 		assert.NotContains(t, first, id)
 	}
-	result, _ := porcupine.CheckOperationsVerbose(register, h.known(), time.Minute)
-	require.Equal(t, porcupine.Ok, result)
+	require.True(t, h.Linearizable())
 	c.Equal(0, 1, 2)
 	assert.True(t, filled(t, c, 1, "note", 20))
 }
--- a/tests/faults_test.go
+++ b/tests/faults_test.go
@@ -6,14 +6,12 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -124,57 +122,6 @@
 	took  time.Duration
 }
 
-// prober writes one key without pause, at any node, and keeps when writes that
-// succeeded began and ended.
-type prober struct {
-	mu   sync.Mutex
-	done [][2]time.Time
-}
-
-func (p *prober) run(c *cluster, stop <-chan struct{}) {
-	web := &http.Client{Timeout: 500 * time.Millisecond}
-	for n := 0; ; n++ {
-		select {
-		case <-stop:
-			return
-		default:
-		}
-		began := time.Now()
-		req, err := http.NewRequest("PUT", "http://"+c.Peers[n%3].Admin+"/store/probe", strings.NewReader(fmt.Sprint(n)))
-		if err != nil {
-			panic(err)
-		}
-		res, err := web.Do(req)
-		if err != nil {
-			time.Sleep(5 * time.Millisecond)
-			continue
-		}
-		io.Copy(io.Discard, res.Body)
-		res.Body.Close()
-		if res.StatusCode == 204 {
-			p.mu.Lock()
-			p.done = append(p.done, [2]time.Time{began, time.Now()})
-			p.mu.Unlock()
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-}
-
-// after is when the first write ended that began after a time.
-func (p *prober) after(at time.Time) (time.Time, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for i := len(p.done) - 1; i >= 0; i-- {
-		if p.done[i][0].Before(at) {
-			if i+1 < len(p.done) {
-				return p.done[i+1][1], true
-			}
-			return time.Time{}, false
-		}
-	}
-	return time.Time{}, false
-}
-
 // TestFaults: clients read, write and compare-and-set at three nodes while leaders are
 // killed, cut off, stopped and not heard, links are slow and half open, and all nodes
 // die at once. Each key's history is linearizable, and the nodes end up equal.
@@ -183,13 +130,13 @@
 	t.Parallel()
 	replay(t)
 	w := newWired(t)
-	h := &history{began: time.Now()}
-	stop, probe := make(chan struct{}), &prober{}
+	h := rig.NewHistory()
+	stop, probe := make(chan struct{}), &rig.Prober{}
 	var wg sync.WaitGroup
 	for id := range 6 {
-		wg.Go(func() { h.client(w, id, stop) })
+		wg.Go(func() { h.Client(w.Cluster, id, stop) })
 	}
-	wg.Go(func() { probe.run(w, stop) })
+	wg.Go(func() { probe.Run(w.Cluster, stop) })
 	heal := func(i int) { w.Around(i, rig.Mode{}, rig.Mode{}) }
 	all := func(do func(i int)) func(int) {
 		return func(int) {
@@ -231,7 +178,7 @@
 	plan := rig.NewSchedule(*seed, 3, 1500*time.Millisecond, faults...)
 	var outages []outage
 	count := map[string]int{}
-	for time.Since(h.began) < *faultTime || !h.enough() {
+	for h.Since() < *faultTime || !h.Enough(*faultTime) {
 		turn := plan.Next()
 		f := turn.Fault
 		i := w.Leader()
@@ -243,7 +190,7 @@
 		f.Undo(i)
 		if f.Leader {
 			await(t, "a write after "+f.Name, func() bool {
-				end, ok := probe.after(at)
+				end, ok := probe.After(at)
 				if ok {
 					outages = append(outages, outage{f.Name, end.Sub(at)})
 				}
@@ -254,13 +201,12 @@
 	close(stop)
 	wg.Wait()
 	w.Heal()
-	result, _ := porcupine.CheckOperationsVerbose(register, h.known(), time.Minute)
-	require.Equal(t, porcupine.Ok, result)
-	assert.Greater(t, h.count.writes, 50)
-	assert.Greater(t, h.count.reads, 100)
+	require.True(t, h.Linearizable())
+	assert.Greater(t, h.Writes, 50)
+	assert.Greater(t, h.Reads, 100)
 	w.Equal(0, 1, 2)
 	t.Logf("seed %d, %v: %d writes and compare-and-sets, %d reads, %d writes of unknown outcome, %d not answered", *seed, *faultTime,
-		h.count.writes, h.count.reads, h.count.unknown, h.count.refused)
+		h.Writes, h.Reads, h.Unknown, h.Refused)
 	for _, f := range faults {
 		var took []time.Duration
 		for _, o := range outages {
--- a/tests/linear_test.go
+++ b/tests/linear_test.go
@@ -13,175 +13,14 @@
 	"testing"
 	"time"
 
-	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"oxbowbridge/internal/rig"
 )
 
 var faultTime = flag.Duration("faults", 15*time.Second, "how long TestLinearizable and TestFaults go on")
 
-// step is a read, a write or a compare-and-set of one key, and what came of it.
-type step struct {
-	key   string
-	write bool
-	value string // written
-	from  string // what a compare-and-set wants to find
-}
-
-// unequal is what came of a compare-and-set that found another value.
-const unequal = "unequal"
-
-// register is a key that is written and read; each key is checked for itself.
-var register = porcupine.Model{
-	Partition: func(h []porcupine.Operation) [][]porcupine.Operation {
-		keys := map[string][]porcupine.Operation{}
-		for _, o := range h {
-			keys[o.Input.(step).key] = append(keys[o.Input.(step).key], o)
-		}
-		var parts [][]porcupine.Operation
-		for _, p := range keys {
-			parts = append(parts, p)
-		}
-		return parts
-	},
-	Init: func() any { return "" },
-	Step: func(state, input, output any) (bool, any) {
-		in := input.(step)
-		switch {
-		case !in.write:
-			return output == state, state
-		case in.from == "" || in.from == state && output != unequal:
-			return true, in.value
-		}
-		return output == unequal && in.from != state, state
-	},
-}
-
-// history is what clients did, each on the clock of this process.
-type history struct {
-	mu    sync.Mutex
-	ops   []porcupine.Operation
-	began time.Time
-	count struct{ writes, reads, unknown, refused int }
-}
-
-const never = int64(1) << 60 // when an operation of unknown outcome ends
-
-func (h *history) add(client int, in step, out string, call, end int64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: end})
-}
-
-// known leaves out writes of unknown outcome that nobody read: values are written
-// once, so all that they can do is to have a compare-and-set find another value. Those
-// that found one after such a write began prove nothing then, and are left out too.
-// Kept, they would cost the checker much.
-func (h *history) known() []porcupine.Operation {
-	read, first := map[string]bool{}, map[string]int64{}
-	for _, o := range h.ops {
-		if !o.Input.(step).write {
-			read[o.Output.(string)] = true
-		}
-	}
-	for _, o := range h.ops {
-		in := o.Input.(step)
-		if at, ok := first[in.key]; o.Return == never && !read[in.value] && (!ok || o.Call < at) {
-			first[in.key] = o.Call
-		}
-	}
-	var ops []porcupine.Operation
-	for _, o := range h.ops {
-		in := o.Input.(step)
-		at, lost := first[in.key]
-		if o.Return == never && !read[in.value] || o.Output == unequal && lost && at < o.Return {
-			continue
-		}
-		ops = append(ops, o)
-	}
-	return ops
-}
-
-// enough tells whether so much was answered that a check of it means something. A busy
-// machine gets more time for it.
-func (h *history) enough() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.count.writes > 50 && h.count.reads > 100 || time.Since(h.began) > *faultTime+2*patience
-}
-
-// client reads, writes and compares-and-sets at random nodes until told to stop.
-func (h *history) client(c *cluster, id int, stop <-chan struct{}) {
-	seen := map[string][2]string{} // by key: a value that was read, and its tag
-	rng := rand.New(rand.NewPCG(uint64(id), 7))
-	web := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for n := 0; ; n++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(time.Duration(rng.IntN(10)) * time.Millisecond):
-		}
-		in := step{key: fmt.Sprint("reg/", rng.IntN(5)), write: rng.IntN(3) == 0, value: fmt.Sprintf("%q", fmt.Sprintf("%d-%d", id, n))}
-		method := "GET"
-		if in.write {
-			method = "PUT"
-			if was, ok := seen[in.key]; ok && rng.IntN(2) == 0 {
-				in.from = was[0]
-			}
-		}
-		url := "http://" + c.Peers[rng.IntN(len(c.Peers))].Admin + "/store/" + in.key
-		req, err := http.NewRequest(method, url, strings.NewReader(in.value))
-		if err != nil {
-			panic(err)
-		}
-		if in.from != "" {
-			req.Header.Set("If-Match", seen[in.key][1])
-		}
-		call := time.Since(h.began).Nanoseconds()
-		res, err := web.Do(req)
-		code, text := 0, ""
-		if err == nil {
-			b, rerr := io.ReadAll(res.Body)
-			res.Body.Close()
-			code, text, err = res.StatusCode, strings.TrimSpace(string(b)), rerr
-			if !in.write && code == 200 && err == nil {
-				seen[in.key] = [2]string{text, res.Header.Get("ETag")}
-			}
-		}
-		end := time.Since(h.began).Nanoseconds()
-		ok := err == nil && (code == 200 || code == 204 || code == 404 && !in.write || code == 412 && in.from != "")
-		switch {
-		case ok && in.write && code == 412:
-			h.add(id, in, unequal, call, end)
-		case ok && in.write && in.from != "":
-			h.add(id, in, "done", call, end)
-		case ok && in.write:
-			h.add(id, in, "", call, end)
-		case ok && code == 404:
-			h.add(id, in, "", call, end)
-		case ok:
-			h.add(id, in, text, call, end)
-		case in.write:
-			h.add(id, in, "", call, never)
-		}
-		h.mu.Lock()
-		switch {
-		case ok && in.write:
-			h.count.writes++
-		case ok:
-			h.count.reads++
-		case in.write:
-			h.count.unknown++
-		default:
-			h.count.refused++
-		}
-		h.mu.Unlock()
-		if !ok {
-			time.Sleep(50 * time.Millisecond)
-		}
-	}
-}
-
 // TestLinearizable: clients read and write at three nodes while one after the other
 // is killed and comes back. No read is older than what was acknowledged before it
 // began, nothing acknowledged is lost, and the nodes end up equal. -faults 10m is its
@@ -189,18 +28,18 @@
 func TestLinearizable(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, object{})
-	h := &history{began: time.Now()}
+	h := rig.NewHistory()
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for id := range 6 {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			h.client(c, id, stop)
+			h.Client(c.Cluster, id, stop)
 		}()
 	}
 	rng, kills := rand.New(rand.NewPCG(3, 3)), 0
-	for time.Since(h.began) < *faultTime || !h.enough() {
+	for h.Since() < *faultTime || !h.Enough(*faultTime) {
 		time.Sleep(time.Duration(500+rng.IntN(1000)) * time.Millisecond)
 		i := rng.IntN(3)
 		if kills%2 == 0 {
@@ -213,37 +52,36 @@
 	}
 	close(stop)
 	wg.Wait()
-	result, _ := porcupine.CheckOperationsVerbose(register, h.known(), time.Minute)
-	t.Logf("%d kills, %d writes, %d reads, %d writes of unknown outcome, %d reads not answered", kills, h.count.writes, h.count.reads,
-		h.count.unknown, h.count.refused)
-	require.Equal(t, porcupine.Ok, result)
-	assert.Greater(t, h.count.writes, 50)
-	assert.Greater(t, h.count.reads, 100)
+	t.Logf("%d kills, %d writes, %d reads, %d writes of unknown outcome, %d reads not answered", kills, h.Writes, h.Reads,
+		h.Unknown, h.Refused)
+	require.True(t, h.Linearizable())
+	assert.Greater(t, h.Writes, 50)
+	assert.Greater(t, h.Reads, 100)
 	c.Equal(0, 1, 2)
 }
 
 // TestCheckerBites: one read that is behind an acknowledged write is found out, and
 // one compare-and-set that was done or not done against what the key had.
 func TestCheckerBites(t *testing.T) {
-	h := &history{}
-	h.add(0, step{key: "k", write: true, value: "1"}, "", 1, 2)
-	h.add(0, step{key: "k", write: true, value: "2"}, "", 3, 4)
-	h.add(1, step{key: "k", write: true, value: "3"}, "", 5, never)
-	h.add(1, step{key: "k"}, "2", 5, 6)
-	assert.True(t, porcupine.CheckOperations(register, h.known()))
-	set := step{key: "k", write: true, from: "2", value: "4"}
-	h.add(2, set, "done", 7, 8)
-	h.add(0, step{key: "j", write: true, value: "4"}, "", 1, 2)
-	h.add(0, step{key: "k", write: true, from: "4", value: "5"}, unequal, 9, 10) // the write of unknown outcome may be why
-	assert.True(t, porcupine.CheckOperations(register, h.known()))
+	h := rig.NewHistory()
+	h.Add(0, rig.Step{Key: "k", Write: true, Value: "1"}, "", 1, 2)
+	h.Add(0, rig.Step{Key: "k", Write: true, Value: "2"}, "", 3, 4)
+	h.Add(1, rig.Step{Key: "k", Write: true, Value: "3"}, "", 5, rig.Never)
+	h.Add(1, rig.Step{Key: "k"}, "2", 5, 6)
+	assert.True(t, h.Linearizable())
+	set := rig.Step{Key: "k", Write: true, From: "2", Value: "4"}
+	h.Add(2, set, "done", 7, 8)
+	h.Add(0, rig.Step{Key: "j", Write: true, Value: "4"}, "", 1, 2)
+	h.Add(0, rig.Step{Key: "k", Write: true, From: "4", Value: "5"}, rig.Unequal, 9, 10) // the write of unknown outcome may be why
+	assert.True(t, h.Linearizable())
 	for _, wrong := range []struct {
-		in  step
+		in  rig.Step
 		out string
-	}{{step{key: "k"}, "1"}, {step{key: "k", write: true, from: "2", value: "5"}, "done"},
-		{step{key: "j", write: true, from: "4", value: "5"}, unequal}} {
-		bad := &history{ops: append([]porcupine.Operation(nil), h.ops...)}
-		bad.add(0, wrong.in, wrong.out, 9, 10)
-		assert.False(t, porcupine.CheckOperations(register, bad.known()), wrong.in)
+	}{{rig.Step{Key: "k"}, "1"}, {rig.Step{Key: "k", Write: true, From: "2", Value: "5"}, "done"},
+		{rig.Step{Key: "j", Write: true, From: "4", Value: "5"}, rig.Unequal}} {
+		bad := h.Clone()
+		bad.Add(0, wrong.in, wrong.out, 9, 10)
+		assert.False(t, bad.Linearizable(), wrong.in)
 	}
 }
 
