Store: tests for steps on a changed configuration and for a term that can't be kept

Need: left out, these two guards were missed by no test: the configuration that a step names, and the end of the goroutine whose term can't be kept.

--- /dev/null
+++ b/internal/raftdisk/guard_test.go
@@ -0,0 +1,40 @@
+package raftdisk
+
+import (
+	"testing"
+
+	"github.com/hashicorp/raft"
+	"github.com/stretchr/testify/require"
+
+	"oxbowbridge/internal/durable/faultfs"
+)
+
+// TestGuard: where Raft would end the process, as it can't keep a term, the goroutine
+// ends, and the node is told once; an append that fails comes back as an error.
+func TestGuard(t *testing.T) {
+	f := &faultfs.FS{}
+	d, _, err := OpenFS(f)
+	require.NoError(t, err)
+	told := 0
+	g := d.Guarded(func(error) { told++ })
+	require.NoError(t, g.SetUint64([]byte("CurrentTerm"), 1))
+	require.NoError(t, g.StoreLog(entry(1, 1, "a")))
+	require.ErrorIs(t, g.GetLog(2, &raft.Log{}), raft.ErrLogNotFound)
+	require.Zero(t, told)
+	f.At = func(int, string, string) faultfs.Fault { return faultfs.EIO }
+	require.Error(t, g.StoreLog(entry(2, 1, "b")))
+	went, ended := false, make(chan struct{})
+	go func() {
+		defer close(ended)
+		g.SetUint64([]byte("CurrentTerm"), 2)
+		went = true
+	}()
+	<-ended
+	require.False(t, went)
+	require.Equal(t, 1, told)
+	require.Error(t, d.Failed())
+	m, err := d.Mark()
+	require.NoError(t, err)
+	require.EqualValues(t, 1, m.LastIndex)
+	require.EqualValues(t, 1, m.Term)
+}
--- /dev/null
+++ b/internal/store/members_test.go
@@ -0,0 +1,39 @@
+package store
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	"github.com/stretchr/testify/require"
+
+	"oxbowbridge/internal/membership"
+)
+
+// TestStepOnItsConfiguration: a step that was decided on a configuration which has changed
+// since is not taken.
+func TestStepOnItsConfiguration(t *testing.T) {
+	rc := raft.DefaultConfig()
+	rc.LocalID, rc.Logger = "a@1", hclog.New(&hclog.LoggerOptions{Output: io.Discard})
+	logs := raft.NewInmemStore()
+	addr, wire := raft.NewInmemTransport("")
+	require.NoError(t, raft.BootstrapCluster(rc, logs, logs, raft.NewInmemSnapshotStore(), wire,
+		raft.Configuration{Servers: []raft.Server{{ID: "a@1", Address: addr}}}))
+	r, err := raft.NewRaft(rc, newState(), logs, logs, raft.NewInmemSnapshotStore(), wire)
+	require.NoError(t, err)
+	t.Cleanup(func() { r.Shutdown().Error() })
+	require.Eventually(t, func() bool { return r.State() == raft.Leader }, 10*time.Second, 5*time.Millisecond)
+	l := &life{raft: r}
+	first := r.AddNonvoter("b@1", "b", 0, time.Second)
+	require.NoError(t, first.Error())
+	conf := r.GetConfiguration().Configuration()
+	second := r.AddNonvoter("c@1", "c", first.Index(), time.Second)
+	require.NoError(t, second.Error())
+	for _, s := range []membership.Step{{Kind: membership.Remove, ID: "b@1"}, {Kind: membership.Promote, ID: "b@1"}} {
+		require.ErrorContains(t, l.step(t.Context(), s, conf, first.Index()), "configuration changed")
+	}
+	require.NoError(t, l.step(t.Context(), membership.Step{Kind: membership.Remove, ID: "b@1"}, conf, second.Index()))
+	require.ErrorIs(t, l.step(t.Context(), membership.Step{Kind: membership.Remove, ID: "x@1"}, conf, 0), ErrNoMember)
+}
