Rig: full strength means the disks that nodes have now; lost disks in the decisions' table

Observed: the ten-minute run failed after 157 s: s2's folder went back (23:48:32.2), s0's disk was lost at 23:48:35.4 while s2's new disk was still a learner, and two of three voters were gone. Examined: the members' log lines, in order; the store refused, as it must. Wrong was the rig: Strong took the old disk for up, which the leader had heard 1.5 s before, so the schedule lost a second disk too soon. Change: Strong asks each node which disk it has. The decisions' table gets lost and wanted members; that a lost disk's vote goes first was missed by no test before.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -13,6 +13,8 @@
 	learner := func(id, zone string) Member { return Member{ID: id, Zone: zone, Up: true} }
 	down := func(m Member, d time.Duration) Member { m.Up, m.Down = false, d; return m }
 	leaving := func(m Member) Member { m.Leaving = true; return m }
+	lost := func(m Member) Member { m.Up, m.Lost = false, true; return m }
+	wanted := func(m Member) Member { m.Wanted = true; return m }
 	behind := func(m Member, n uint64) Member { m.Behind = n; return m }
 	three := []Member{voter("a", "x"), voter("b", "y"), voter("c", "z")}
 	with := func(list []Member, m ...Member) []Member { return append(append([]Member{}, list...), m...) }
@@ -32,6 +34,13 @@
 		{"replaced", with(three[:2], down(voter("c", "z"), time.Minute), voter("d", "z")), Demote, "c"},
 		{"down for long, nobody to replace it", with(three[:2], down(voter("c", "z"), time.Minute)), None, ""},
 		{"no majority", []Member{voter("a", "x"), down(voter("b", "y"), time.Hour), down(voter("c", "z"), time.Hour), learner("d", "y")}, None, ""},
+		{"its disk is gone", with(three[:2], lost(voter("c", "z"))), Demote, "c"},
+		{"its disk is gone, its successor waits", with(three[:2], lost(voter("c", "z")), learner("d", "z")), Demote, "c"},
+		{"its successor has the vote next", with(three[:2], lost(learner("c", "z")), learner("d", "z")), Promote, "d"},
+		{"then it is forgotten", with(three, lost(learner("d", "z"))), Remove, "d"},
+		{"two of three disks are gone", with(three[:1], lost(voter("b", "y")), lost(voter("c", "z")), learner("d", "z")), None, ""},
+		{"an operator wants it to vote", with(three, wanted(learner("d", "x"))), Promote, "d"},
+		{"all that vote are wanted", with([]Member{wanted(three[0]), wanted(three[1]), wanted(three[2])}, wanted(learner("d", "x"))), None, ""},
 		{"leaves, with a standby", with(three[:2], leaving(voter("c", "z")), learner("d", "z")), Promote, "d"},
 		{"leaves, without one", with(three[:2], leaving(voter("c", "z"))), Demote, "c"},
 		{"the leader leaves", []Member{leaving(voter("a", "x")), voter("b", "y"), voter("c", "z"), voter("d", "x")}, Transfer, "b"},
--- a/internal/rig/cluster.go
+++ b/internal/rig/cluster.go
@@ -357,19 +357,21 @@
 	})
 }
 
-// Strong waits until some nodes have their votes, and no other one is a member.
+// Strong waits until some nodes have their votes with the disks that they have now, and no
+// other one is a member.
 func (c *Cluster) Strong(voters ...int) {
 	c.T.Helper()
 	Await(c.T, fmt.Sprintf("votes of %v, and no others", voters), func() bool {
 		m := c.Members(voters[0])
-		good := 0
-		for _, x := range m {
-			for _, v := range voters {
-				if x.Name == c.Peers[v].Name && x.Role == "voter" && (x.State == "up" || x.State == "leader") {
-					good++
-				}
+		for _, v := range voters {
+			var self struct{ ID string }
+			if !c.Ask(v, "/self", &self) {
+				return false
+			}
+			if x := m[self.ID]; x.Role != "voter" || x.State != "up" && x.State != "leader" {
+				return false
 			}
 		}
-		return good == len(voters) && len(m) == len(voters)
+		return len(m) == len(voters)
 	})
 }
