A test of writes that a follower passes on to a leader that stands still

Need: with the look for another leader left out, no test failed. Change: a write in a session, sent to a follower just after its leader was stopped, is answered by the next leader in the same request.

--- a/tests/faults_test.go
+++ b/tests/faults_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -96,6 +97,34 @@
 	}
 }
 
+// TestForwardedWrite: a write in a session, sent to a follower when its leader has just
+// been stopped, is answered by the next leader in the same request.
+func TestForwardedWrite(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	var a struct{ Session uint64 }
+	await(t, "a session", func() bool {
+		code, text := c.HTTP(0, "POST", "/session", "")
+		return code == 200 && json.Unmarshal([]byte(text), &a) == nil
+	})
+	n := 0
+	await(t, "a write that the next leader answers", func() bool {
+		n++
+		lead := c.Leader()
+		c.Stop(lead)
+		defer c.Continue(lead)
+		req, err := http.NewRequest("PUT", "http://"+c.Peers[(lead+1)%3].Admin+"/store/note/session", strings.NewReader(fmt.Sprint(n)))
+		require.NoError(t, err)
+		req.Header.Set("Session", fmt.Sprint(a.Session))
+		req.Header.Set("Request-Number", fmt.Sprint(n))
+		res, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		res.Body.Close()
+		return res.StatusCode == 204
+	})
+	c.Has(0, "note/session", fmt.Sprint(n))
+}
+
 // seed is that of the schedules.
 var seed = flag.Uint64("seed", 11, "of the faults' schedules")
 
