Store: a node that joins is named by its section; bad requests for a place

Change: the check looks at the node as it will be; the rig's joining nodes have no name of their own either, so the members' tests fail without this. Requests for a place share the reading of JSON with transactions.

--- a/internal/rig/cluster.go
+++ b/internal/rig/cluster.go
@@ -162,7 +162,9 @@
 		peers = append(peers, p)
 	}
 	if out["peers"] = peers; node >= c.Founders {
-		out["self"] = c.Peers[node]
+		self := c.Peers[node]
+		self.Name = "" // it is the node's
+		out["self"] = self
 	}
 	for k, v := range c.Fields {
 		out[k] = v
--- a/internal/store/config.go
+++ b/internal/store/config.go
@@ -59,7 +59,7 @@
 	if c.Dir == "" {
 		return errors.New("dir: missing")
 	}
-	_, ok := c.self()
+	own, ok := c.self()
 	switch {
 	case !ok:
 		return fmt.Errorf("node: %q is not among the peers, and self does not say where it is", c.Node)
@@ -85,7 +85,7 @@
 		}
 	}
 	if c.Self != nil {
-		if err := c.Self.check(); err != nil {
+		if err := own.check(); err != nil {
 			return fmt.Errorf("self.%w", err)
 		}
 	}
--- a/internal/storeadmin/members.go
+++ b/internal/storeadmin/members.go
@@ -1,13 +1,8 @@
 package storeadmin
 
 import (
-	"bytes"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 
-	"oxbowbridge/internal/kv"
 	"oxbowbridge/internal/storeapi"
 )
 
@@ -28,15 +23,10 @@
 
 // join takes a node in as a learner.
 func (a *admin) join(w http.ResponseWriter, r *http.Request) {
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, joinMost))
 	var j storeapi.Join
-	if err == nil {
-		d := json.NewDecoder(bytes.NewReader(text))
-		d.DisallowUnknownFields()
-		err = d.Decode(&j)
-	}
+	text, err := decode(w, r, joinMost, &j)
 	if err != nil {
-		fail(w, fmt.Errorf("%w: %w", kv.ErrRequest, err))
+		fail(w, err)
 		return
 	}
 	if a.passOn(w, r, text, true) {
--- a/internal/storeadmin/write.go
+++ b/internal/storeadmin/write.go
@@ -107,15 +107,10 @@
 // txn carries out a transaction: {"if": [{"key", "revision"}], "then": [{"do", "key",
 // "value"}], "else": [...], "session": N, "number": N}.
 func (a *admin) txn(w http.ResponseWriter, r *http.Request) {
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, txnMost))
 	var q kv.Request
-	if err == nil {
-		d := json.NewDecoder(bytes.NewReader(text))
-		d.DisallowUnknownFields()
-		err = d.Decode(&q)
-	}
+	text, err := decode(w, r, txnMost, &q)
 	if err != nil {
-		fail(w, fmt.Errorf("%w: %w", kv.ErrRequest, err))
+		fail(w, err)
 		return
 	}
 	if q.Open {
@@ -133,6 +128,20 @@
 	}
 }
 
+// decode reads a request's JSON, and gives its text to pass on.
+func decode(w http.ResponseWriter, r *http.Request, most int64, to any) (text []byte, err error) {
+	text, err = io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	if err == nil {
+		d := json.NewDecoder(bytes.NewReader(text))
+		d.DisallowUnknownFields()
+		err = d.Decode(to)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", kv.ErrRequest, err)
+	}
+	return text, nil
+}
+
 // notReserved refuses keys that only the store itself writes.
 func notReserved(key string) error {
 	if strings.HasPrefix(key, kv.Reserved) {
--- a/tests/disks_test.go
+++ b/tests/disks_test.go
@@ -282,6 +282,10 @@
 	assert.Equal(t, 1, code)
 	assert.Contains(t, errs, "no such member")
 	c.Put(3, "note/last", "1")
+	for _, bad := range []string{`{`, `{"id":"x","raft":"127.0.0.1:1","admin":"127.0.0.1:2"}`, `{"id":"x@1","raft":"10.0.0.1:1","admin":"127.0.0.1:2"}`, `{"id":"x@1","zone":"a|b"}`} {
+		code, text := c.HTTP(3, "POST", "/members", bad)
+		assert.Equal(t, 400, code, text)
+	}
 }
 
 // TestJoinBehindPartition: a node whose only seed is cut off from the others learns from
