Store: a leader knows that its own former disk is gone

Examined: the members' lines in order, the decisions (they remove a learner whose disk is lost), what the leader makes of each member. Wrong: seen() in members.go takes what a node's name answers for the sign of a lost disk, and nobody asks itself. Change: another id under the leader's own name is lost. Measured: TestOwnOldDisk fails without it.

--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -100,8 +100,8 @@
 	}
 	_, m.Leaving = s.state.get(kv.GonePart + p.Name)
 	_, m.Wanted = s.state.get(kv.VotePart + p.Name)
-	if id == l.id {
-		m.Up = true
+	if p.Name == s.self.Name { // nobody asks itself: what bears this node's name is its disk, or one that it had
+		m.Up, m.Lost = id == l.id, id != l.id
 		return m
 	}
 	h, heard := s.peers.last(p.Name)
--- a/internal/store/members_test.go
+++ b/internal/store/members_test.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"oxbowbridge/internal/membership"
 )
@@ -37,3 +38,17 @@
 	require.NoError(t, l.step(t.Context(), membership.Step{Kind: membership.Remove, ID: "b@1"}, conf, second.Index()))
 	require.ErrorIs(t, l.step(t.Context(), membership.Step{Kind: membership.Remove, ID: "x@1"}, conf, 0), ErrNoMember)
 }
+
+// TestOwnOldDisk: a leader knows that a disk that it had before is gone, though it asks
+// all nodes but itself.
+func TestOwnOldDisk(t *testing.T) {
+	a := Peer{Name: "a", Raft: "127.0.0.1:1", Admin: "127.0.0.1:2"}
+	s, err := New(Config{Node: "a", Dir: t.TempDir(), Peers: []Peer{a}}, zap.NewNop())
+	require.NoError(t, err)
+	l := &life{s: s, id: "a@2"}
+	for id, lost := range map[string]bool{"a@1": true, "a@2": false} {
+		m := s.seen(l, raft.Server{ID: raft.ServerID(id), Address: addressOf(a, id)}, time.Now())
+		require.Equal(t, lost, m.Lost, id)
+		require.Equal(t, !lost, m.Up, id)
+	}
+}
