Store, rig: state that was derived or unused is gone

The count of starts stood in two places, the leader's next step was kept and never read, Disk.Empty had no caller, and the rig had its own slices.Contains. Change: each is removed; behaviour stays as it is.

--- a/internal/raftdisk/guard.go
+++ b/internal/raftdisk/guard.go
@@ -73,12 +73,6 @@
 	return err
 }
 
-// Empty tells whether there is neither an entry nor a snapshot.
-func (d *Disk) Empty() (bool, error) {
-	m, err := d.Mark()
-	return m.LastIndex == 0, err
-}
-
 // Mark is how far the disk has come, but for the starts.
 func (d *Disk) Mark() (m identity.Mark, err error) {
 	if m.Term, err = d.GetUint64([]byte("CurrentTerm")); err != nil { // Raft's name for it
--- a/internal/rig/cluster.go
+++ b/internal/rig/cluster.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -265,7 +266,7 @@
 	Await(c.T, "a leader", func() bool {
 		for i := range c.Peers {
 			var st struct{ State string }
-			if c.nodes[i] != nil && !contains(but, i) && c.Ask(i, "/status", &st) && st.State == "Leader" {
+			if c.nodes[i] != nil && !slices.Contains(but, i) && c.Ask(i, "/status", &st) && st.State == "Leader" {
 				leader = i
 				return true
 			}
@@ -275,15 +276,6 @@
 	return leader
 }
 
-func contains(list []int, n int) bool {
-	for _, x := range list {
-		if x == n {
-			return true
-		}
-	}
-	return false
-}
-
 // Put writes a key until it is acknowledged.
 func (c *Cluster) Put(node int, key, value string) {
 	c.T.Helper()
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -74,7 +74,6 @@
 	disk      *raftdisk.Disk
 	own       identity.Own
 	addresses map[string]string // of the members in its log
-	starts    uint64
 }
 
 // readFolder reads a disk's identity, or gives it one, and counts the start.
@@ -93,13 +92,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("starts: %w", err)
 	}
+	count := uint64(0)
 	if starts != nil {
-		if f.starts, err = strconv.ParseUint(string(starts), 10, 64); err != nil {
+		if count, err = strconv.ParseUint(string(starts), 10, 64); err != nil {
 			return nil, fmt.Errorf("starts: %w", err)
 		}
 	}
-	f.starts++
-	if err := disk.Keep(keptStarts, strconv.AppendUint(nil, f.starts, 10)); err != nil {
+	count++
+	if err := disk.Keep(keptStarts, strconv.AppendUint(nil, count, 10)); err != nil {
 		return nil, fmt.Errorf("count start: %w", err)
 	}
 	joiner, err := disk.Kept(keptJoiner)
@@ -110,7 +110,7 @@
 	if f.own.Mark, err = disk.Mark(); err != nil {
 		return nil, fmt.Errorf("mark: %w", err)
 	}
-	f.own.Mark.Starts = f.starts
+	f.own.Mark.Starts = count
 	if f.own.Cluster == "" {
 		if f.own.Logged, err = loggedCluster(disk); err != nil {
 			return nil, err
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -32,7 +32,6 @@
 	changed time.Time            // when the configuration was last seen to change
 	index   uint64               // of that configuration
 	down    map[string]time.Time // since when a member was not heard of
-	next    membership.Step
 	view    membership.View
 }
 
@@ -83,8 +82,7 @@
 		v.view.Members = append(v.view.Members, s.seen(l, x, now))
 	}
 	s.convert(l, v.view.Members)
-	v.next = s.cfg.policy().Next(v.view)
-	return v.next, conf, index
+	return s.cfg.policy().Next(v.view), conf, index
 }
 
 // seen is one member as the leader sees it. The lock of the view is held.
