Store: a leader that wakes up counts no answers to what it sent before

Cause: predicted from how leadership is proven, then measured. Raft's VerifyLeader takes any answer of a peer, also one to a heartbeat that was sent before the reader came; a leader that was stopped finds such answers when it goes on, while another one leads. Excluded: the read's own index (taken after the reader came) and the term (unchanged until a peer's newer one is heard). Wrong lines: ReadIndex in fresh.go, which rested on VerifyLeader alone. Leases would have rested on the same. Change: the transport keeps when that was sent which each peer's answer belongs to; a proof needs most voters' answers, in the term, to what was sent since it was asked for (internal/store/acks.go).

--- a/internal/rig/cluster.go
+++ b/internal/rig/cluster.go
@@ -135,13 +135,17 @@
 	}
 }
 
+// From sets the links from one node to another.
+func (c *Cluster) From(a, b int, m Mode) {
+	for _, l := range c.links[[2]int{a, b}] {
+		l.Set(m)
+	}
+}
+
 // Between sets the links between two nodes, both ways.
 func (c *Cluster) Between(a, b int, m Mode) {
-	for _, ends := range [][2]int{{a, b}, {b, a}} {
-		for _, l := range c.links[ends] {
-			l.Set(m)
-		}
-	}
+	c.From(a, b, m)
+	c.From(b, a, m)
 }
 
 // Heal mends all links.
--- a/internal/store/fresh.go
+++ b/internal/store/fresh.go
@@ -111,10 +111,14 @@
 		}
 		l.barred.Store(term)
 	}
-	index := l.raft.CommitIndex()
-	if err := done(ctx, l.raft.VerifyLeader()); err != nil {
+	index, asked := l.raft.CommitIndex(), time.Now()
+	if err := done(ctx, l.raft.VerifyLeader()); err != nil { // has its peers asked at once
 		return 0, err
 	}
+	conf, _ := l.conf()
+	if err := l.acks.majority(ctx, raft.ServerID(l.id), conf, term, asked, l.leads); err != nil {
+		return 0, fmt.Errorf("most voters' answers: %w", err)
+	}
 	if l.raft.CurrentTerm() != term {
 		return 0, ErrNoLeader
 	}
--- a/internal/store/life.go
+++ b/internal/store/life.go
@@ -39,6 +39,7 @@
 	failed chan error             // what ended it
 	barred atomic.Uint64          // the term in which this node, as leader, has committed an entry
 	view   views                  // what the leader sees of the members
+	acks   *acks
 }
 
 func (l *life) leads() bool { return l.raft.State() == raft.Leader }
@@ -178,8 +179,9 @@
 	rc.BatchApplyCh, rc.MaxAppendEntries = true, batchMost
 	rc.ShutdownOnRemove = false // this node decides itself what becomes of it
 	rc.Logger = hclog.New(&hclog.LoggerOptions{Level: hclog.Error, Output: out, DisableTime: true})
-	transport := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: w, MaxPool: transportConns,
-		Timeout: transportTime, Logger: rc.Logger})
+	transport := newAcks(raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: w, MaxPool: transportConns,
+		Timeout: transportTime, Logger: rc.Logger}))
+	l.acks = transport
 	defer func() { transport.Close(); transport.CloseStreams() }()
 	if verdict == identity.Found {
 		conf, err := s.founding(l)
