--- a/cmd/oxbowbridge/keeper.go
+++ b/cmd/oxbowbridge/keeper.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"oxbowbridge/internal/fleet"
 	"oxbowbridge/internal/store"
 	"oxbowbridge/internal/storeadmin"
 	"oxbowbridge/internal/wire"
@@ -33,6 +34,7 @@
 	name  string
 	log   *zap.Logger
 	says  chan string
+	tasks *fleet.Tasks
 
 	caught atomic.Bool // this node has read all that was committed when it started
 }
@@ -45,7 +47,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: store: %w", errConfig, err)
 	}
-	k := &keeper{store: s, name: cfg.Name, log: log, says: make(chan string, 1)}
+	tasks, err := fleet.Start(s, *cfg.Store, log.Named("fleet"))
+	if err != nil {
+		s.Close()
+		return nil, fmt.Errorf("%w: store: %w", errConfig, err)
+	}
+	k := &keeper{store: s, tasks: tasks, name: cfg.Name, log: log, says: make(chan string, 1)}
 	s.Watch(func(key string, value json.RawMessage) {
 		if key == keyLevel && k.caught.Load() { // not what a log that is read again once said
 			k.setLevel(level, value)
@@ -151,7 +158,7 @@
 	if k.store == nil {
 		return 0
 	}
-	return store.CloseTime
+	return store.CloseTime + fleet.CloseTime
 }
 
 func (k *keeper) tell() {
@@ -171,6 +178,7 @@
 
 func (k *keeper) close() {
 	if k.store != nil {
+		k.tasks.Close()
 		k.store.Close()
 	}
 }
--- a/cmd/oxbowbridge/store.go
+++ b/cmd/oxbowbridge/store.go
@@ -8,7 +8,6 @@
 	"maps"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -16,6 +15,7 @@
 
 	"github.com/spf13/cobra"
 
+	"oxbowbridge/internal/files"
 	"oxbowbridge/internal/kv"
 	"oxbowbridge/internal/storeapi"
 	"oxbowbridge/internal/storeclient"
@@ -208,7 +208,7 @@
 	if err != nil {
 		return err
 	}
-	if err := writeNew(args[0], text); err != nil {
+	if err := files.WriteNew(args[0], text); err != nil {
 		return err
 	}
 	if s.asJSON {
@@ -218,23 +218,6 @@
 		[]any{head.Cluster, head.Revision, head.Keys, head.Bytes, head.SHA256})
 }
 
-// writeNew writes a file that is there whole, on disk, or not at all.
-func writeNew(path string, text []byte) (err error) {
-	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(text)
-	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
-		return errors.Join(err, os.Remove(path))
-	}
-	dir, err := os.Open(filepath.Dir(path))
-	if err != nil {
-		return err
-	}
-	return errors.Join(dir.Sync(), dir.Close())
-}
-
 func (s *storeCLI) restore(c *cobra.Command, client *storeclient.Client, args []string) error {
 	if s.undo != (len(args) == 0) {
 		return badCall(errors.New("want FILE, or --undo"))
--- a/internal/backup/backup.go
+++ b/internal/backup/backup.go
@@ -33,8 +33,9 @@
 	Revision uint64 `json:"revision"` // up to which it has all
 	TimeMS   int64  `json:"time_ms"`  // Unix milliseconds at which it was taken
 	Keys     int    `json:"keys"`
-	Bytes    int    `json:"bytes"`  // of what follows
-	SHA256   string `json:"sha256"` // of the line with this field empty, and what follows
+	Bytes    int    `json:"bytes"`           // of what follows
+	Token    uint64 `json:"token,omitempty"` // the highest fencing token that was given
+	SHA256   string `json:"sha256"`          // of the line with this field empty, and what follows
 }
 
 // Key is one of the keys, in their order.
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -10,6 +10,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"oxbowbridge/internal/lease"
 )
 
 // Limits of the state. What it holds is small.
@@ -33,6 +35,7 @@
 	WasKey     = Reserved + "was"      // the clusters that this one was recovered from
 	GonePart   = Reserved + "removed/" // and a name: operators want no such member
 	VotePart   = Reserved + "prefer/"  // and a name: operators want it to have a vote
+	LeasesKey  = Reserved + "leases"   // there once all members know leases
 	StatePart  = "state/"              // prefix of what services say of themselves; no backup puts it back
 )
 
@@ -65,13 +68,17 @@
 
 // Request is one entry of the log. All of it takes effect, or nothing.
 type Request struct {
-	TimeMS  int64     `json:"time_ms"`           // the leader's clock
-	Open    bool      `json:"open,omitempty"`    // a session, in place of all below
-	Session uint64    `json:"session,omitempty"` // 0 for none
-	Number  uint64    `json:"number,omitempty"`  // in the session; larger for each new request
-	If      []Compare `json:"if,omitempty"`      // all must hold, else
-	Then    []Op      `json:"then"`
-	Else    []Op      `json:"else,omitempty"`
+	TimeMS int64 `json:"time_ms"`        // the leader's clock
+	Open   bool  `json:"open,omitempty"` // a session, in place of all below
+	// Leases are operations on leases, in place of all below. Each succeeds or fails for itself.
+	Leases  []lease.Op   `json:"leases,omitempty"`
+	Floor   uint64       `json:"floor,omitempty"`   // later fencing tokens are higher
+	Fence   []lease.Held `json:"fence,omitempty"`   // leases that must be held under these tokens, or nothing is done
+	Session uint64       `json:"session,omitempty"` // 0 for none
+	Number  uint64       `json:"number,omitempty"`  // in the session; larger for each new request
+	If      []Compare    `json:"if,omitempty"`      // all must hold, else
+	Then    []Op         `json:"then"`
+	Else    []Op         `json:"else,omitempty"`
 }
 
 // Result is what a key was after an operation.
@@ -83,10 +90,12 @@
 
 // Answer is what a request came to.
 type Answer struct {
-	Held     bool     `json:"held"` // all compares did, and Then was done
-	Revision uint64   `json:"revision"`
-	Session  uint64   `json:"session,omitempty"` // that was opened
-	Results  []Result `json:"results,omitempty"`
+	Held     bool           `json:"held"` // all compares did, and Then was done
+	Revision uint64         `json:"revision"`
+	Session  uint64         `json:"session,omitempty"` // that was opened
+	Results  []Result       `json:"results,omitempty"`
+	Leases   []lease.Result `json:"leases,omitempty"` // one for each operation
+	Given    []string       `json:"given,omitempty"`  // leases that went to one who waited
 }
 
 var (
@@ -98,6 +107,8 @@
 	// ErrNumber: a later request of the session was carried out, and the answer to this
 	// one, if there was one, is no longer kept. Nothing was done now.
 	ErrNumber = errors.New("request number is too old")
+	// ErrFenced: nothing was done, as a lease is not held under the token.
+	ErrFenced = errors.New("lease is not held under this token")
 	// ErrRestoring: nothing was done, as a backup is being written back.
 	ErrRestoring = errors.New("store is being restored from a backup")
 	// ErrRequest: the request breaks a limit.
@@ -106,7 +117,7 @@
 
 // CheckLength is for requests from outside: a store of record may hand over more.
 func (r *Request) CheckLength() error {
-	if len(r.If) > Ops || len(r.Then) > Ops || len(r.Else) > Ops {
+	if len(r.Leases) > lease.Ops || len(r.Fence) > Ops || len(r.If) > Ops || len(r.Then) > Ops || len(r.Else) > Ops {
 		return fmt.Errorf("%w: more than %d compares or operations", ErrRequest, Ops)
 	}
 	return nil
@@ -163,6 +174,7 @@
 	TimeMS   int64               `json:"time_ms"` // never goes back
 	Entries  map[string]Entry    `json:"entries"`
 	Sessions map[uint64]*session `json:"sessions"`
+	Leases   *lease.State        `json:"leases"`
 
 	bytes int // of all values; -1 until it is counted
 }
@@ -180,12 +192,13 @@
 
 // New is an empty state.
 func New() *State {
-	return &State{Entries: map[string]Entry{}, Sessions: map[uint64]*session{}, bytes: -1}
+	return &State{Entries: map[string]Entry{}, Sessions: map[uint64]*session{}, Leases: lease.NewState(0), bytes: -1}
 }
 
 // Clone copies it, but for the values, which nothing changes.
 func (s *State) Clone() *State {
-	c := &State{Applied: s.Applied, TimeMS: s.TimeMS, Entries: maps.Clone(s.Entries), Sessions: map[uint64]*session{}, bytes: -1}
+	c := &State{Applied: s.Applied, TimeMS: s.TimeMS, Entries: maps.Clone(s.Entries), Sessions: map[uint64]*session{},
+		Leases: s.Leases.Clone(), bytes: -1}
 	for id, x := range s.Sessions {
 		c.Sessions[id] = &session{x.SeenMS, x.Last, slices.Clone(x.Kept)}
 	}
@@ -203,6 +216,12 @@
 	if r.Open {
 		return s.open(index)
 	}
+	if r.Floor != 0 {
+		s.Leases.Floor(r.Floor)
+	}
+	if len(r.Leases) > 0 {
+		return s.lease(index, r.Leases), nil, nil
+	}
 	var own *session
 	if r.Session != 0 {
 		if own = s.Sessions[r.Session]; own == nil {
@@ -241,6 +260,18 @@
 	maps.DeleteFunc(s.Sessions, func(_ uint64, x *session) bool { return ms-x.SeenMS > SessionMS })
 }
 
+func (s *State) lease(index uint64, ops []lease.Op) Answer {
+	a := Answer{Held: true, Revision: index}
+	for _, o := range ops {
+		r, given := s.Leases.Apply(o)
+		a.Leases = append(a.Leases, r)
+		if given {
+			a.Given = append(a.Given, o.Name)
+		}
+	}
+	return a
+}
+
 func (s *State) open(index uint64) (Answer, []string, error) {
 	if len(s.Sessions) >= Sessions {
 		return Answer{}, nil, fmt.Errorf("%w: %d sessions are open", ErrFull, len(s.Sessions))
@@ -273,6 +304,11 @@
 	if s.shut(r) {
 		return Answer{}, nil, ErrRestoring
 	}
+	for _, f := range r.Fence {
+		if !s.Leases.Holds(f.Name, f.Token) {
+			return Answer{}, nil, fmt.Errorf("%w: %s/%d", ErrFenced, f.Name, f.Token)
+		}
+	}
 	a = Answer{Held: true, Revision: index}
 	for _, c := range r.If {
 		a.Held = a.Held && s.Revision(c.Key) == c.Revision
--- a/internal/kv/kv_test.go
+++ b/internal/kv/kv_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"oxbowbridge/internal/lease"
 	"oxbowbridge/internal/rapidseed"
 )
 
@@ -126,3 +127,37 @@
 	_, _, err = s.Apply(s.Applied+1, &Request{Open: true})
 	assert.ErrorIs(t, err, ErrFull)
 }
+
+// TestFenced: what rests on a lease is done only while it is held under that token; a
+// repeat of what was done is answered as it was; an entry without operations ends idle sessions.
+func TestFenced(t *testing.T) {
+	s := New()
+	a, _, err := s.Apply(1, &Request{Floor: 100, Leases: []lease.Op{{Do: lease.Acquire, Name: "job", Holder: "h", TTLMS: 5000},
+		{Do: lease.Acquire, Name: "job", Holder: "other", TTLMS: 5000}}})
+	require.NoError(t, err)
+	held := lease.Held{Name: "job", Token: a.Leases[0].Lease.Token}
+	assert.Greater(t, held.Token, uint64(100))
+	assert.ErrorIs(t, a.Leases[1].Err(), lease.ErrHeld)
+	a, _, err = s.Apply(2, &Request{TimeMS: 1, Open: true})
+	require.NoError(t, err)
+	put := Request{TimeMS: 1, Session: a.Session, Number: 1, Fence: []lease.Held{held}, Then: []Op{{Do: "put", Key: "k", Value: []byte("1")}}}
+	_, changed, err := s.Apply(3, &put)
+	require.NoError(t, err)
+	assert.Equal(t, []string{"k"}, changed)
+	_, _, err = s.Apply(4, &Request{Leases: []lease.Op{{Do: lease.Release, Name: "job", Token: held.Token}}})
+	require.NoError(t, err)
+	again, changed, err := s.Apply(5, &put)
+	require.NoError(t, err)
+	assert.Empty(t, changed)
+	assert.EqualValues(t, 3, again.Revision)
+	put.Number = 2
+	_, _, err = s.Apply(6, &put)
+	assert.ErrorIs(t, err, ErrFenced)
+	assert.EqualValues(t, 3, s.Revision("k"))
+	for i := range uint64(11) {
+		_, _, err = s.Apply(7+i, &Request{TimeMS: int64(i+1) * leapMS})
+		require.NoError(t, err)
+	}
+	assert.Empty(t, s.Sessions)
+	assert.Greater(t, s.Clone().Leases.Last, uint64(100))
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -12,17 +12,20 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"regexp"
 	"slices"
-	"time"
 )
 
 // Limits.
 const (
 	Names   = 20000
 	Waiters = 64 // of one name
+	Queued  = 4096
 	LeastMS = 500
 	MostMS  = 10 * 60 * 1000
+	Ops     = 256  // of one entry of the log
+	PerMS   = 2048 // tokens that a new cluster skips for each millisecond of its clock
 	// Margin is the part of a lease's time that its holder doesn't use. It covers clocks
 	// of which one runs a tenth slow and the other a tenth fast: (1-Margin)/0.9 <= 1/1.1.
 	Margin = 0.2
@@ -37,8 +40,13 @@
 	ErrFull = errors.New("too many leases")
 	// ErrRequest: a name, a time or a holder is out of its bounds.
 	ErrRequest = errors.New("bad lease request")
+	// ErrNoWaiter: the one that a lease is to be handed to does not wait for it.
+	ErrNoWaiter = errors.New("nobody of that name waits for the lease")
 )
 
+// codes are the errors as a log's answers have them.
+var codes = map[string]error{"held": ErrHeld, "gone": ErrGone, "full": ErrFull, "request": ErrRequest, "no_waiter": ErrNoWaiter}
+
 var nameForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}$`)
 
 // Waiter is one who wants a lease that is held.
@@ -54,12 +62,56 @@
 	Holder  string   `json:"holder"`
 	Token   uint64   `json:"token"`
 	TTLMS   int64    `json:"ttl_ms"`
+	Revoked bool     `json:"revoked,omitempty"` // its holder is not to go on, and has what time it was given
 	Waiters []Waiter `json:"waiters,omitempty"` // who is next goes first
 }
 
+// What an Op does.
+const (
+	Acquire  = "acquire"
+	Withdraw = "withdraw" // out of the queue
+	Release  = "release"
+	Expire   = "expire"
+	HandOver = "hand-over" // release to one that waits
+	Revoke   = "revoke"    // no keep-alive counts any more; it ends when its time is over
+)
+
+// Op is one operation on a lease, in an entry of the log.
+type Op struct {
+	Do       string `json:"do"`
+	Name     string `json:"name"`
+	Holder   string `json:"holder,omitempty"` // who asks, or to whom it is handed
+	TTLMS    int64  `json:"ttl_ms,omitempty"`
+	Token    uint64 `json:"token,omitempty"`
+	Wait     bool   `json:"wait,omitempty"`
+	Priority int    `json:"priority,omitempty"`
+}
+
+// Result is what an operation came to.
+type Result struct {
+	Lease Lease  `json:"lease"` // as it is after it, without those who wait; the zero one if nobody has it
+	Code  string `json:"code,omitempty"`
+	Why   string `json:"why,omitempty"`
+}
+
+// Err is the error of the operation.
+func (r Result) Err() error {
+	if err, ok := codes[r.Code]; ok {
+		return fmt.Errorf("%w: %s", err, r.Why)
+	}
+	return nil
+}
+
+// Held is a lease's name and the token under which somebody acts.
+type Held struct {
+	Name  string `json:"name"`
+	Token uint64 `json:"token"`
+}
+
 // State is the replicated part. Its fields are what a snapshot holds.
 type State struct {
-	Last   uint64           `json:"last"` // the highest token or ticket given, for any name
+	Last   uint64           `json:"last"`   // the highest token or ticket given, for any name
+	Queued int              `json:"queued"` // who wait, for all names
 	Leases map[string]Lease `json:"leases"`
 }
 
@@ -69,7 +121,7 @@
 
 // Clone copies it.
 func (s *State) Clone() *State {
-	c := &State{Last: s.Last, Leases: maps.Clone(s.Leases)}
+	c := &State{Last: s.Last, Queued: s.Queued, Leases: maps.Clone(s.Leases)}
 	for name, l := range c.Leases {
 		l.Waiters = slices.Clone(l.Waiters)
 		c.Leases[name] = l
@@ -107,13 +159,14 @@
 		l = Lease{Holder: holder, Token: s.next(), TTLMS: ttlMS}
 		s.Leases[name] = l
 		return l, nil
-	case l.Holder == holder:
+	case l.Holder == holder && !l.Revoked:
 		return l, nil
 	case !wait || slices.ContainsFunc(l.Waiters, func(w Waiter) bool { return w.Holder == holder }):
 		return l, ErrHeld
-	case len(l.Waiters) >= Waiters:
+	case len(l.Waiters) >= Waiters || s.Queued >= Queued:
 		return l, fmt.Errorf("%w: %d wait for %s", ErrFull, len(l.Waiters), name)
 	}
+	s.Queued++
 	l.Waiters = append(slices.Clone(l.Waiters), Waiter{holder, ttlMS, priority, s.next()})
 	slices.SortStableFunc(l.Waiters, func(a, b Waiter) int {
 		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.Ticket, b.Ticket))
@@ -125,14 +178,21 @@
 // Withdraw takes one that waits out of the queue.
 func (s *State) Withdraw(name, holder string) {
 	if l, ok := s.Leases[name]; ok {
+		before := len(l.Waiters)
 		l.Waiters = slices.DeleteFunc(slices.Clone(l.Waiters), func(w Waiter) bool { return w.Holder == holder })
+		s.Queued -= before - len(l.Waiters)
 		s.Leases[name] = l
 	}
 }
 
-// End ends a lease: released, revoked or expired. The first who waits has it then, at
-// once and alone, under a new token; who it is comes back, if anybody does.
+// End ends a lease: released or expired. The first who waits has it then, at once and
+// alone, under a new token; who it is comes back, if anybody does.
 func (s *State) End(name string, token uint64) (next Lease, given bool, err error) {
+	return s.pass(name, token, 0)
+}
+
+// pass ends a lease in favour of one that waits, if any does.
+func (s *State) pass(name string, token uint64, at int) (next Lease, given bool, err error) {
 	l, ok := s.Leases[name]
 	if !ok || l.Token != token {
 		return Lease{}, false, ErrGone
@@ -141,132 +201,80 @@
 		delete(s.Leases, name)
 		return Lease{}, false, nil
 	}
-	w := l.Waiters[0]
-	next = Lease{Holder: w.Holder, Token: s.next(), TTLMS: w.TTLMS, Waiters: slices.Clone(l.Waiters[1:])}
+	w := l.Waiters[at]
+	s.Queued--
+	next = Lease{Holder: w.Holder, Token: s.next(), TTLMS: w.TTLMS, Waiters: slices.Delete(slices.Clone(l.Waiters), at, at+1)}
 	s.Leases[name] = next
 	return next, true, nil
 }
 
-// Holds is the fence: whether the token is that of the lease now.
-func (s *State) Holds(name string, token uint64) bool {
-	l, ok := s.Leases[name]
-	return ok && l.Token == token
-}
-
-// Timer is the leader's, for as long as it leads in one go. Times are its own, monotonic.
-type Timer struct {
-	ends  map[string]ending
-	since time.Duration // when it was elected
-}
-
-type ending struct {
-	token uint64
-	at    time.Duration
-	over  bool // its end was proposed: no keep-alive revives it
-}
-
-// NewTimer is that of a leader elected at a time. What it inherits has its full time from
-// then on, as it can't know what its predecessor answered.
-func NewTimer(now time.Duration) *Timer { return &Timer{ends: map[string]ending{}, since: now} }
-
-func ttlOf(l Lease) time.Duration { return time.Duration(l.TTLMS) * time.Millisecond }
-
-// look gives the end of a lease, and begins to count it if it is new to the timer: from
-// now on, which is never too early.
-func (t *Timer) look(name string, l Lease, now time.Duration) ending {
-	e, ok := t.ends[name]
-	if !ok || e.token != l.Token {
-		e = ending{token: l.Token, at: now + ttlOf(l)}
-		t.ends[name] = e
-	}
-	return e
-}
-
-// Renew takes a keep-alive that came at a time, before this node made sure that it still
-// leads. It tells whether the lease goes on.
-func (t *Timer) Renew(s *State, name string, token uint64, came time.Duration) error {
+// handOver ends a lease in favour of a holder that waits for it.
+func (s *State) handOver(name string, token uint64, to string) (Lease, error) {
 	l, ok := s.Leases[name]
 	if !ok || l.Token != token {
-		return ErrGone
+		return Lease{}, ErrGone
 	}
-	e := t.look(name, l, came)
-	if e.over {
-		return ErrGone
+	at := slices.IndexFunc(l.Waiters, func(w Waiter) bool { return w.Holder == to })
+	if at < 0 {
+		return l, fmt.Errorf("%w: %s", ErrNoWaiter, to)
 	}
-	e.at = max(e.at, came+ttlOf(l))
-	t.ends[name] = e
-	return nil
+	next, _, err := s.pass(name, token, at)
+	return next, err
 }
 
-// Due are the leases that are over at a time. From then on they are not renewed any more:
-// their end may be in the log.
-func (t *Timer) Due(s *State, now time.Duration) (due []string) {
-	for name, l := range s.Leases {
-		e := t.look(name, l, now)
-		if e.over || now >= e.at {
-			e.over = true
-			t.ends[name] = e
-			due = append(due, name)
-		}
+// revoke has a lease go on only for the time that its holder was given.
+func (s *State) revoke(name string) (Lease, error) {
+	l, ok := s.Leases[name]
+	if !ok {
+		return Lease{}, ErrGone
 	}
-	maps.DeleteFunc(t.ends, func(name string, _ ending) bool { _, ok := s.Leases[name]; return !ok })
-	slices.Sort(due)
-	return due
-}
-
-// Holder is the holder's side of one lease. Times are its own, monotonic.
-type Holder struct {
-	Token uint64
-	TTL   time.Duration
-	until time.Duration
-	given uint64 // the last token that it gave back
+	l.Revoked = true
+	s.Leases[name] = l
+	return l, nil
 }
 
-// Granted notes an answer to a request that was sent at a time: the lease counts from
-// then on. A token that it gave back doesn't count any more: its release may still be on
-// its way, and overtaken by a request that was given the same token again.
-func (h *Holder) Granted(token uint64, sent time.Duration) {
-	if token <= h.given {
-		return
+// Apply carries an operation out, and tells whether the lease is another's now.
+func (s *State) Apply(o Op) (r Result, given bool) {
+	var l Lease
+	var err error
+	switch o.Do {
+	case Acquire:
+		l, err = s.Acquire(o.Name, o.Holder, o.TTLMS, o.Wait, o.Priority)
+	case Withdraw:
+		s.Withdraw(o.Name, o.Holder)
+		l = s.Leases[o.Name]
+	case Release, Expire:
+		l, given, err = s.End(o.Name, o.Token)
+	case HandOver:
+		l, err = s.handOver(o.Name, o.Token, o.Holder)
+		given = err == nil
+	case Revoke:
+		l, err = s.revoke(o.Name)
+	default:
+		err = fmt.Errorf("%w: unknown operation %q", ErrRequest, o.Do)
 	}
-	if token != h.Token {
-		h.Token, h.until = token, 0
+	if err != nil && l.Token == 0 {
+		l = s.Leases[o.Name]
 	}
-	h.until = max(h.until, sent+time.Duration(float64(h.TTL)*(1-Margin)))
-}
-
-// Release gives the lease back: what is to be told to the store is the token.
-func (h *Holder) Release() (token uint64) {
-	h.given = max(h.given, h.Token)
-	token, h.Token, h.until = h.Token, 0, 0
-	return token
-}
-
-// Lost notes that the lease is not its any more.
-func (h *Holder) Lost() { h.Token, h.until = 0, 0 }
-
-// Until is when it must have stopped acting, if no answer comes before.
-func (h *Holder) Until() time.Duration { return h.until }
-
-// May tells whether it may act at a time. Between this and the act it may stand still for
-// any time: what matters goes through a fence.
-func (h *Holder) May(now time.Duration) bool { return h.Token != 0 && now < h.until }
-
-// Renew tells whether it is time for a keep-alive: a third of its time after the last.
-func (h *Holder) Renew(now time.Duration) bool {
-	used := time.Duration(float64(h.TTL) * (1 - Margin))
-	return h.Token != 0 && now >= h.until-used+h.TTL/3
+	l.Waiters = nil
+	r.Lease = l
+	for code, known := range codes {
+		if errors.Is(err, known) {
+			r.Code, r.Why = code, o.Name
+			if code == "request" {
+				r.Why = err.Error()
+			}
+		}
+	}
+	return r, given
 }
 
-// Fence is what an outside resource does with tokens: it keeps the highest that it has
-// seen, and refuses lower ones.
-type Fence struct{ Highest uint64 }
+// Floor has all later tokens be above a number: those of a cluster that was made anew,
+// recovered, or filled from a backup must not be given twice.
+func (s *State) Floor(n uint64) { s.Last = max(s.Last, min(n, math.MaxInt64>>1)) }
 
-// Admit tells whether an act under a token may take effect.
-func (f *Fence) Admit(token uint64) bool {
-	if token < f.Highest {
-		return false
-	}
-	f.Highest = token
-	return true
+// Holds is the fence: whether the token is that of the lease now.
+func (s *State) Holds(name string, token uint64) bool {
+	l, ok := s.Leases[name]
+	return ok && l.Token == token
 }
--- a/internal/store/backup.go
+++ b/internal/store/backup.go
@@ -47,6 +47,7 @@
 	part, size := kv.Request{}, 0
 	flush := func(last bool) error {
 		part.If = []kv.Compare{{Key: kv.RestoreKey, Revision: marker}}
+		part.Floor = tokenFloor(head.Token)
 		if last {
 			text, _ := json.Marshal(out)
 			part.Then = append(part.Then, kv.Op{Do: "delete", Key: kv.RestoreKey}, kv.Op{Do: "put", Key: restoredKey, Value: text})
--- a/internal/store/cluster.go
+++ b/internal/store/cluster.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/lease"
 )
 
 const identityLook = 100 * time.Millisecond
@@ -95,7 +96,7 @@
 		b := make([]byte, 16)
 		rand.Read(b)
 		id, _ := json.Marshal(hex.EncodeToString(b))
-		_, err := s.Do(kv.Request{If: []kv.Compare{{Key: kv.ClusterKey}},
+		_, err := s.Do(kv.Request{Floor: tokenFloor(0), If: []kv.Compare{{Key: kv.ClusterKey}},
 			Then: []kv.Op{{Do: "put", Key: kv.ClusterKey, Value: id}}})
 		return err
 	}
@@ -118,3 +119,9 @@
 	}
 	return id, nil
 }
+
+// tokenFloor is what fencing tokens of a cluster that begins anew are above: what the old
+// one gave for certain, and what it can have given by now, as it began by this rule too.
+func tokenFloor(known uint64) uint64 {
+	return max(known, uint64(time.Now().UnixMilli())*lease.PerMS)
+}
--- a/internal/store/config.go
+++ b/internal/store/config.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -41,6 +42,50 @@
 		Driver string `json:"driver"` // "sqlite", "postgres", or "" for no store of record
 		DSN    string `json:"dsn"`
 	} `json:"sql"`
+	Backup BackupConfig `json:"backup"`
+}
+
+// BackupConfig has backups taken on schedule, by one of the nodes that are set up for it.
+type BackupConfig struct {
+	Dir   string `json:"dir"`   // "" is none
+	Every string `json:"every"` // such as "1h"; "" is a day
+	Keep  int    `json:"keep"`  // files in Dir; 0 is 7
+}
+
+const (
+	backupEvery = 24 * time.Hour
+	backupLeast = time.Second
+	backupKeep  = 7
+	backupMost  = 10000
+)
+
+// Period is the time between two backups.
+func (b BackupConfig) Period() (time.Duration, error) {
+	if b.Every == "" {
+		return backupEvery, nil
+	}
+	d, err := time.ParseDuration(b.Every)
+	if err == nil && d < backupLeast {
+		err = fmt.Errorf("%q is below %v", b.Every, backupLeast)
+	}
+	if err != nil {
+		return 0, fmt.Errorf("backup.every: %w", err)
+	}
+	return d, nil
+}
+
+// Kept is how many stay.
+func (b BackupConfig) Kept() int { return cmp.Or(b.Keep, backupKeep) }
+
+func (b BackupConfig) check() error {
+	switch {
+	case b.Dir == "" && (b.Every != "" || b.Keep != 0):
+		return errors.New("backup.dir: missing")
+	case b.Keep < 0 || b.Keep > backupMost:
+		return fmt.Errorf("backup.keep: want 1 to %d, or 0 for %d", backupMost, backupKeep)
+	}
+	_, err := b.Period()
+	return err
 }
 
 const (
@@ -89,6 +134,9 @@
 			return fmt.Errorf("self.%w", err)
 		}
 	}
+	if err := c.Backup.check(); err != nil {
+		return err
+	}
 	if _, ok := drivers[c.SQL.Driver]; !ok && c.SQL.Driver != "" {
 		return fmt.Errorf("sql.driver: %q is neither sqlite nor postgres", c.SQL.Driver)
 	}
--- /dev/null
+++ b/internal/store/leases.go
@@ -0,0 +1,336 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"oxbowbridge/internal/identity"
+	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/lease"
+)
+
+const (
+	leaseLook  = 20 * time.Millisecond // how often the leader looks which leases are over
+	waiterLook = time.Second           // how often it notes that one who waits is still there
+)
+
+// ErrNoLeases means that leases can't be had yet: a member is of a version that would
+// not understand them.
+var ErrNoLeases = errors.New("leases wait until all members know them")
+
+// leases is what a node does for leases while it leads: the timer of its term, and those
+// who wait here for a lease.
+type leases struct {
+	born time.Time // times are since then, monotonic
+	own  *prover   // that this node leads
+
+	mu      sync.Mutex
+	timer   *lease.Timer
+	term    uint64
+	waiting map[[2]string]chan struct{} // by name and holder; closed once it has the lease
+}
+
+func newLeases(s *Store) *leases {
+	return &leases{born: time.Now(), own: &prover{ask: s.ReadIndex}, waiting: map[[2]string]chan struct{}{}}
+}
+
+func (x *leases) now() time.Duration { return time.Since(x.born) }
+
+// given wakes the one who waits for a lease, and nobody else.
+func (x *leases) given(name, holder string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	place := [2]string{name, holder}
+	if c, ok := x.waiting[place]; ok {
+		close(c)
+		delete(x.waiting, place)
+	}
+}
+
+// wait gives a channel that is closed once the holder has the lease.
+func (x *leases) wait(name, holder string) <-chan struct{} {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	place := [2]string{name, holder}
+	c, ok := x.waiting[place]
+	if !ok {
+		c = make(chan struct{})
+		x.waiting[place] = c
+	}
+	return c
+}
+
+// with runs something on the timer and the leases as this node knows them.
+func (s *Store) withLeases(t *lease.Timer, do func(*lease.State, time.Duration)) error {
+	x := s.leases
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.timer != t || t == nil {
+		return ErrNoLeader
+	}
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	do(s.state.kv.Leases, x.now())
+	return nil
+}
+
+// keepLeases begins to count when this node is elected, and ends the leases that are over.
+func (s *Store) keepLeases(ctx context.Context, l *life) {
+	tick := time.NewTicker(leaseLook)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.leases.begin(nil, 0)
+			return
+		case <-tick.C:
+		}
+		if err := s.stepLeases(ctx, l); err != nil && ctx.Err() == nil {
+			s.log.Debug("leases", zap.Error(err))
+		}
+	}
+}
+
+func (x *leases) begin(t *lease.Timer, term uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.timer, x.term = t, term
+}
+
+// current is the timer of the present term.
+func (x *leases) current(l *life) (*lease.Timer, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.timer == nil || !l.leads() || x.term != l.raft.CurrentTerm() {
+		return nil, ErrNoLeader
+	}
+	return x.timer, nil
+}
+
+func (s *Store) stepLeases(ctx context.Context, l *life) error {
+	if !l.leads() {
+		s.leases.begin(nil, 0)
+		return nil
+	}
+	t, err := s.leases.current(l)
+	if err != nil {
+		term := l.raft.CurrentTerm()
+		ctx, cancel := context.WithTimeout(ctx, proveTimeout)
+		defer cancel()
+		index, err := s.ReadIndex(ctx)
+		if err == nil {
+			err = s.applied(ctx, index)
+		}
+		if err != nil || l.raft.CurrentTerm() != term {
+			return errors.Join(ErrNoLeader, err)
+		}
+		t = lease.NewTimer(s.leases.now())
+		s.leases.begin(t, term)
+	}
+	if _, ok := s.state.get(kv.ClusterKey); !ok {
+		return nil // tokens begin where the id does
+	}
+	if _, ok := s.state.get(kv.LeasesKey); !ok {
+		return s.allowLeases(l)
+	}
+	var due []lease.Op
+	if err := s.withLeases(t, func(st *lease.State, now time.Duration) { due = t.Due(st, now) }); err != nil {
+		return err
+	}
+	for len(due) > 0 {
+		n := min(len(due), lease.Ops)
+		if _, err := s.Do(kv.Request{Leases: due[:n]}); err != nil {
+			return err
+		}
+		due = due[n:]
+	}
+	return nil
+}
+
+// allowLeases opens the store for leases, for good, once all members know them.
+func (s *Store) allowLeases(l *life) error {
+	conf, _ := l.conf()
+	for _, x := range conf.Servers {
+		if id := string(x.ID); id != l.id {
+			if h, now := s.peers.last(identity.Name(id)); !now || h.ID != id || !h.Leases {
+				return fmt.Errorf("%w: not known of %s", ErrNoLeases, id)
+			}
+		}
+	}
+	_, err := s.Do(kv.Request{If: []kv.Compare{{Key: kv.LeasesKey}},
+		Then: []kv.Op{{Do: "put", Key: kv.LeasesKey, Value: []byte("true")}}})
+	return err
+}
+
+// sure makes sure that this node has led since the call, and that it knows all that was
+// committed by then. It gives the timer of its term.
+func (s *Store) sure(ctx context.Context) (*lease.Timer, error) {
+	l, err := s.alive()
+	if err != nil {
+		return nil, err
+	}
+	t, err := s.leases.current(l)
+	if err != nil {
+		return nil, err
+	}
+	if _, ok := s.state.get(kv.LeasesKey); !ok {
+		return nil, ErrNoLeases
+	}
+	ctx, cancel := context.WithTimeout(ctx, proveTimeout)
+	defer cancel()
+	p, err := s.leases.own.prove(ctx)
+	if err == nil {
+		err = s.applied(ctx, p.index)
+	}
+	if err != nil {
+		return nil, err
+	}
+	// The term never goes back: if it is the timer's now, it was all the time.
+	if now, err := s.leases.current(l); err != nil || now != t {
+		return nil, ErrNoLeader
+	}
+	return t, nil
+}
+
+// Wish is a request for a lease.
+type Wish struct {
+	Name     string
+	Holder   string // nobody else goes by this name: who asks again under it is given the same token
+	TTLMS    int64
+	Priority int
+	Wait     time.Duration // 0 is not at all
+}
+
+// AcquireLease gives a lease, or who has it with lease.ErrHeld; only the leader can.
+// Those who wait leave the queue when ctx ends.
+func (s *Store) AcquireLease(ctx context.Context, w Wish) (lease.Lease, error) {
+	if err := lease.Check(w.Name, w.Holder, w.TTLMS); err != nil {
+		return lease.Lease{}, err
+	}
+	came := s.leases.now()
+	t, err := s.sure(ctx)
+	if err != nil {
+		return lease.Lease{}, err
+	}
+	if w.Wait <= 0 {
+		return s.ask(t, w, came)
+	}
+	defer s.leases.given(w.Name, w.Holder)
+	end := time.NewTimer(w.Wait)
+	defer end.Stop()
+	tick := time.NewTicker(waiterLook)
+	defer tick.Stop()
+	for {
+		mine := s.leases.wait(w.Name, w.Holder) // before it is known whether it is given
+		l, err := s.ask(t, w, came)
+		if !errors.Is(err, lease.ErrHeld) {
+			return l, err
+		}
+		select {
+		case <-mine:
+			continue
+		case <-tick.C:
+			continue // which notes that it is still there
+		case <-end.C:
+		case <-ctx.Done():
+		}
+		if _, err := s.Do(kv.Request{Leases: []lease.Op{{Do: lease.Withdraw, Name: w.Name, Holder: w.Holder}}}); err != nil {
+			return lease.Lease{}, err
+		}
+		w.Wait = 0 // it may have been given meanwhile
+		return s.ask(t, w, came)
+	}
+}
+
+// ask gives a lease if it is free or the holder's already, and puts the holder into the
+// queue if it waits. What changes nothing needs no entry of the log.
+func (s *Store) ask(t *lease.Timer, w Wish, came time.Duration) (l lease.Lease, err error) {
+	needed := true
+	look := func(st *lease.State, now time.Duration) {
+		l, needed, err = t.Ask(st, w.Name, w.Holder, w.Wait > 0, came, now)
+	}
+	if e := s.withLeases(t, look); e != nil || !needed {
+		return l, errors.Join(e, err)
+	}
+	a, err := s.Do(kv.Request{Leases: []lease.Op{{Do: lease.Acquire, Name: w.Name, Holder: w.Holder, TTLMS: w.TTLMS,
+		Wait: w.Wait > 0, Priority: w.Priority}}})
+	if err != nil {
+		return l, err
+	}
+	if r := a.Leases[0]; r.Err() != nil && !errors.Is(r.Err(), lease.ErrHeld) {
+		return r.Lease, r.Err()
+	}
+	needed = false
+	if e := s.withLeases(t, look); e != nil || !needed {
+		return l, errors.Join(e, err)
+	}
+	return l, lease.ErrHeld // it was ended, or passed on, just now
+}
+
+// RenewLeases has leases go on, and names those that are not the caller's any more. Only
+// the leader can.
+func (s *Store) RenewLeases(ctx context.Context, list []lease.Held) (kept map[string]lease.Lease, gone []string, err error) {
+	came := s.leases.now()
+	t, err := s.sure(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	kept = map[string]lease.Lease{}
+	err = s.withLeases(t, func(st *lease.State, _ time.Duration) {
+		for _, h := range list {
+			if t.Renew(st, h.Name, h.Token, came) != nil {
+				gone = append(gone, h.Name)
+			} else {
+				kept[h.Name] = st.Leases[h.Name]
+			}
+		}
+	})
+	return kept, gone, err
+}
+
+// EndLease releases a lease, hands it over to one that waits (to), or, with token 0,
+// revokes it; only the leader can.
+func (s *Store) EndLease(name string, token uint64, to string) error {
+	o := lease.Op{Do: lease.Release, Name: name, Token: token}
+	switch {
+	case token == 0:
+		o.Do = lease.Revoke
+	case to != "":
+		o.Do, o.Holder = lease.HandOver, to
+	}
+	a, err := s.Do(kv.Request{Leases: []lease.Op{o}})
+	if err != nil {
+		return err
+	}
+	return a.Leases[0].Err()
+}
+
+// Leases are all that are held, or one, and for how long they go on if nobody keeps them
+// alive; only the leader knows.
+func (s *Store) Leases(ctx context.Context, only string) (all map[string]lease.Lease, left map[string]time.Duration, err error) {
+	t, err := s.sure(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	all, left = map[string]lease.Lease{}, map[string]time.Duration{}
+	err = s.withLeases(t, func(st *lease.State, now time.Duration) {
+		for name, l := range st.Leases {
+			if only == "" || only == name {
+				all[name], left[name] = l, t.Left(name, l, now)
+			}
+		}
+	})
+	return all, left, err
+}
+
+// LastToken is the highest fencing token that this node knows of.
+func (s *Store) LastToken() uint64 {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return s.state.kv.Leases.Last
+}
--- a/internal/store/life.go
+++ b/internal/store/life.go
@@ -208,6 +208,7 @@
 	var beside sync.WaitGroup
 	beside.Go(func() { s.keepCluster(ctx, l) })
 	beside.Go(func() { s.lead(ctx, l) })
+	beside.Go(func() { s.keepLeases(ctx, l) })
 	err = s.tend(ctx, l, verdict)
 	s.now.CompareAndSwap(l, nil)
 	cancel()
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -180,6 +180,9 @@
 	if _, err := s.Fresh(ctx, Freshness{}); err != nil { // who was removed is known
 		return err
 	}
+	if _, ok := s.state.get(kv.LeasesKey); ok && !j.Leases {
+		return fmt.Errorf("%w: this cluster has leases, which %s does not know", ErrRefused, j.ID)
+	}
 	conf, index := l.conf()
 	if _, ok := serverOf(conf, j.ID); ok {
 		return nil // asked again
--- a/internal/store/peers.go
+++ b/internal/store/peers.go
@@ -230,7 +230,7 @@
 
 // join asks the cluster for a place, at each node that serves until one says yes.
 func (p *peers) join(ctx context.Context, l *life) error {
-	ask := storeapi.Join{ID: l.id, Raft: p.s.self.Raft, Admin: p.s.self.Admin, Zone: p.s.self.Zone}
+	ask := storeapi.Join{ID: l.id, Raft: p.s.self.Raft, Admin: p.s.self.Admin, Zone: p.s.self.Zone, Leases: true}
 	text, err := json.Marshal(ask)
 	if err != nil {
 		return err
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -179,6 +179,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.kv.Clone()
+	k.Leases.Floor(tokenFloor(0)) // what the others gave may be missing
 	var was []string
 	if e, ok := k.Entries[kv.WasKey]; ok {
 		json.Unmarshal(e.Value, &was) // this package wrote it
--- a/internal/store/state.go
+++ b/internal/store/state.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/raft"
 
 	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/lease"
 	"oxbowbridge/internal/watch"
 )
 
@@ -66,11 +67,13 @@
 	history  *watch.History
 	watchers []func(key string, value json.RawMessage)
 	changed  chan struct{}
-	moved    chan struct{} // closed when a command was applied
+	moved    chan struct{}             // closed when a command was applied
+	given    func(name, holder string) // called for a lease that went to one who waited
 }
 
 func newState() *state {
-	return &state{kv: kv.New(), history: watch.New(historyLimits, 0), changed: make(chan struct{}, 1), moved: make(chan struct{})}
+	return &state{kv: kv.New(), history: watch.New(historyLimits, 0), changed: make(chan struct{}, 1), moved: make(chan struct{}),
+		given: func(string, string) {}}
 }
 
 // reset empties it: a log is about to be read again from its beginning.
@@ -161,8 +164,15 @@
 	}
 	s.history.Add(l.Index, changes)
 	s.advance()
-	watchers := s.watchers
+	watchers, given := s.watchers, s.given
+	var holders []string
+	for _, name := range out.answer.Given {
+		holders = append(holders, s.kv.Leases.Leases[name].Holder)
+	}
 	s.mu.Unlock()
+	for i, name := range out.answer.Given {
+		given(name, holders[i])
+	}
 	for _, c := range changes {
 		for _, w := range watchers {
 			w(c.Key, c.Value)
@@ -208,6 +218,9 @@
 	if err != nil {
 		return fmt.Errorf("read snapshot: %w", err)
 	}
+	if from.Leases == nil || from.Leases.Leases == nil {
+		from.Leases = lease.NewState(0)
+	}
 	s.mu.Lock()
 	s.kv = from
 	s.history.Reset(from.Applied)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -50,6 +50,7 @@
 	peers  *peers
 	prover *prover
 	writes writes
+	leases *leases
 
 	ctx    context.Context
 	stop   context.CancelFunc
@@ -75,6 +76,8 @@
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.prover = &prover{ask: s.committed}
 	s.peers = newPeers(s.ctx, s)
+	s.leases = newLeases(s)
+	s.state.given = s.leases.given
 	first := "its disk to be opened"
 	s.waits.Store(&first)
 	return s, nil
@@ -88,8 +91,7 @@
 		return err
 	}
 	if s.cfg.SQL.Driver != "" {
-		s.mirror = startMirror(s)
-		s.closed = append(s.closed, s.mirror.close)
+		s.mirror = &mirror{store: s}
 	}
 	go s.run(disk)
 	return nil
@@ -247,7 +249,7 @@
 	}
 	own := f.own
 	out := storeapi.Self{State: stateWaiting, Raft: s.self.Raft, Admin: s.self.Admin, Zone: s.self.Zone}
-	out.ID, out.Cluster = own.ID, s.cluster.id()
+	out.ID, out.Cluster, out.Leases = own.ID, s.cluster.id(), true
 	out.Mark, out.Fresh = own.Mark, own.Fresh
 	out.Config, out.Members, out.Voters, out.Addresses = own.Config, own.Members, own.Voters, f.addresses
 	if l := s.now.Load(); l != nil {
--- a/internal/store/write.go
+++ b/internal/store/write.go
@@ -98,6 +98,30 @@
 	return s.propose(s.ctx, text, sizeOf(&r))
 }
 
+// DoAnywhere is Do at any node: the leader is asked, once.
+func (s *Store) DoAnywhere(ctx context.Context, r kv.Request) error {
+	if s.Leads() {
+		_, err := s.Do(r)
+		return err
+	}
+	p, _, ok := s.Leader()
+	if !ok || p.Name == s.self.Name {
+		return ErrNoLeader
+	}
+	text, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("encode request: %w", err)
+	}
+	return s.peers.client.Patient().One(ctx, p.Admin, http.MethodPost, "/txn", text, nil)
+}
+
+// Sessions is how many are open, as this node knows it.
+func (s *Store) Sessions() int {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return len(s.state.kv.Sessions)
+}
+
 // sizeOf is what a request may add to the store.
 func sizeOf(r *kv.Request) int {
 	then, other := 0, 0
--- a/internal/storeadmin/admin.go
+++ b/internal/storeadmin/admin.go
@@ -23,10 +23,12 @@
 const (
 	watchersMost  = 64
 	forwardedMost = 256 // writes that a node has passed on and waits for
+	leaseMost     = 512 // requests for leases that wait, here or passed on
 )
 
 // admin serves GET /status, /store, /store/KEY, /watch, /backup, /members; PUT and DELETE
-// /store/KEY and /members/NAME; POST /txn, /session, /restore and /members/NAME. Nodes
+// /store/KEY and /members/NAME; POST /txn, /session, /restore and /members/NAME; GET and
+// PUT /lease; GET, POST, PUT and DELETE /lease/NAME. Nodes
 // pass writes on to their leader by it, ask it how far the log is committed (GET /index),
 // ask each other what they are (GET /self), and ask for a place (POST /members).
 type admin struct {
@@ -36,6 +38,7 @@
 	patient  *http.Client  // for what takes longer
 	watchers chan struct{} // one for each that follows
 	forwards chan struct{} // one for each write that is passed on
+	waits    chan struct{} // one for each request for a lease
 
 	restoring sync.Mutex
 }
@@ -59,31 +62,38 @@
 
 func serve(s *store.Store) error {
 	a := &admin{store: s, client: &http.Client{Timeout: storeapi.ApplyTime + time.Second}, patient: &http.Client{Timeout: storeapi.RestoreTime},
-		watchers: make(chan struct{}, watchersMost), forwards: make(chan struct{}, forwardedMost)}
+		watchers: make(chan struct{}, watchersMost), forwards: make(chan struct{}, forwardedMost),
+		waits: make(chan struct{}, leaseMost)}
 	ln, err := net.Listen("tcp", s.AdminAddress())
 	if err != nil {
 		return fmt.Errorf("admin address: %w", err)
 	}
 	mux := http.NewServeMux()
 	for pattern, do := range map[string]http.HandlerFunc{
-		"GET /status":            func(w http.ResponseWriter, _ *http.Request) { storeapi.Answer(w, a.status()) },
-		"GET /self":              a.self,
-		"GET /index":             a.index,
-		"GET /store":             a.list,
-		"GET /store/{key...}":    a.get,
-		"PUT /store/{key...}":    a.put,
-		"DELETE /store/{key...}": a.put,
-		"GET /watch":             a.watch,
-		"POST /session":          a.session,
-		"POST /txn":              a.txn,
-		"GET /backup":            a.backup,
-		"POST /restore":          a.restore,
-		"DELETE /restore":        a.restore,
-		"GET /members":           a.members,
-		"POST /members":          a.join,
-		"PUT /members/{name}":    a.changeMember,
-		"DELETE /members/{name}": a.changeMember,
-		"POST /members/{name}":   a.changeMember,
+		"GET /status":             func(w http.ResponseWriter, _ *http.Request) { storeapi.Answer(w, a.status()) },
+		"GET /self":               a.self,
+		"GET /index":              a.index,
+		"GET /store":              a.list,
+		"GET /store/{key...}":     a.get,
+		"PUT /store/{key...}":     a.put,
+		"DELETE /store/{key...}":  a.put,
+		"GET /watch":              a.watch,
+		"POST /session":           a.session,
+		"POST /txn":               a.txn,
+		"GET /backup":             a.backup,
+		"POST /restore":           a.restore,
+		"DELETE /restore":         a.restore,
+		"GET /members":            a.members,
+		"POST /members":           a.join,
+		"PUT /members/{name}":     a.changeMember,
+		"DELETE /members/{name}":  a.changeMember,
+		"POST /members/{name}":    a.changeMember,
+		"GET /lease":              a.leases,
+		"PUT /lease":              a.renew,
+		"GET /lease/{name...}":    a.lease,
+		"POST /lease/{name...}":   a.acquire,
+		"PUT /lease/{name...}":    a.renew,
+		"DELETE /lease/{name...}": a.release,
 	} {
 		mux.HandleFunc(pattern, do)
 	}
--- a/internal/storeadmin/backup.go
+++ b/internal/storeadmin/backup.go
@@ -34,7 +34,8 @@
 	}
 	slices.SortFunc(keys, func(a, b backup.Key) int { return strings.Compare(a.Key, b.Key) })
 	var text bytes.Buffer
-	if _, err := backup.Write(&text, backup.Head{Cluster: a.store.Cluster(), Revision: revision, TimeMS: time.Now().UnixMilli()}, keys); err != nil {
+	if _, err := backup.Write(&text, backup.Head{Cluster: a.store.Cluster(), Revision: revision, TimeMS: time.Now().UnixMilli(),
+		Token: a.store.LastToken()}, keys); err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
--- a/internal/storeadmin/forward.go
+++ b/internal/storeadmin/forward.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"oxbowbridge/internal/kv"
@@ -20,13 +21,18 @@
 	electTime   = 1500 * time.Millisecond          // while no leader is known, a request waits so long for one
 )
 
-var errForwards = errors.New("too many writes wait for the leader")
+var errForwards = errors.New("too many requests wait here")
 
 // passOn has the leader answer, if that is another node. One that no longer leads is not
 // waited for: what may be repeated, such as a write in its session, is asked again of the
 // next leader until the time is over; for any other write it is unknown whether it was
 // carried out.
 func (a *admin) passOn(w http.ResponseWriter, r *http.Request, body []byte, repeat bool) bool {
+	return a.passOnFor(w, r, body, repeat, forwardTime)
+}
+
+// passOnFor is passOn with another time for all attempts.
+func (a *admin) passOnFor(w http.ResponseWriter, r *http.Request, body []byte, repeat bool, most time.Duration) bool {
 	if a.store.Leads() {
 		return false
 	}
@@ -38,14 +44,18 @@
 		unavailable(w, fmt.Errorf("%w: it waits for %s", store.ErrNotServing, why))
 		return true
 	}
+	slots := a.forwards
+	if most > forwardTime { // one that waits takes no write's place
+		slots = a.waits
+	}
 	select { // guards the memory and the descriptors
-	case a.forwards <- struct{}{}:
-		defer func() { <-a.forwards }()
+	case slots <- struct{}{}:
+		defer func() { <-slots }()
 	default:
 		unavailable(w, errForwards)
 		return true
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), forwardTime)
+	ctx, cancel := context.WithTimeout(r.Context(), most)
 	defer cancel()
 	var alone time.Time // since when no leader could be asked
 	for {
@@ -113,7 +123,7 @@
 			}
 		}
 	}()
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+p.Admin+r.URL.EscapedPath(), bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+p.Admin+r.URL.RequestURI(), bytes.NewReader(body))
 	if err != nil {
 		return nil, false, err
 	}
@@ -121,9 +131,12 @@
 		req.Header.Set(storeapi.HeadCluster, id)
 	}
 	copyFields(req.Header, r.Header, "If-Match", "If-None-Match", storeapi.HeadSession, storeapi.HeadNumber)
+	for _, l := range r.Header.Values(storeapi.HeadLease) {
+		req.Header.Add(storeapi.HeadLease, l)
+	}
 	req.Header.Set("Forwarded", "by="+a.store.Name())
 	client := a.client
-	if r.URL.Path == "/restore" {
+	if r.URL.Path == "/restore" || strings.HasPrefix(r.URL.Path, "/lease/") {
 		client = a.patient
 	}
 	res, err = client.Do(req)
--- a/internal/storeapi/storeapi.go
+++ b/internal/storeapi/storeapi.go
@@ -13,6 +13,7 @@
 
 	"oxbowbridge/internal/identity"
 	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/lease"
 )
 
 // Fields of requests and answers.
@@ -20,6 +21,7 @@
 	HeadCluster  = "Cluster"        // the id of the cluster that is asked, or answers
 	HeadSession  = "Session"        // of a write
 	HeadNumber   = "Request-Number" // of a write in its session
+	HeadLease    = "Lease"          // NAME/TOKEN: a write that is done only while that lease is held under that token
 	HeadRevision = "Store-Revision" // up to which an answer knows the store
 	HeadEventID  = "Last-Event-ID"
 )
@@ -28,7 +30,9 @@
 	WatchProgress = 2 * time.Second            // a quiet stream says so often how far it is
 	EventMost     = 2 * kv.Ops * kv.ValueBytes // bytes of one event
 	RestoreTime   = time.Minute
-	ApplyTime     = 3 * time.Second // for which a leader waits for a majority
+	ApplyTime     = 3 * time.Second  // for which a leader waits for a majority
+	WaitMost      = 30 * time.Second // for which one request waits for a lease
+	RenewMost     = 4096             // leases that one request keeps alive
 )
 
 // Status is what a node tells of itself.
@@ -57,6 +61,7 @@
 	Raft    string        `json:"raft"`
 	Admin   string        `json:"admin"`
 	Zone    string        `json:"zone,omitempty"`
+	Leases  bool          `json:"leases,omitempty"` // the node knows them
 	// Addresses of the members, for one that does not know of all of them.
 	Addresses map[string]string `json:"addresses,omitempty"`
 }
@@ -89,6 +94,51 @@
 	Raft  string `json:"raft"`
 	Admin string `json:"admin"`
 	Zone  string `json:"zone,omitempty"`
+	// Leases: the node knows them. A cluster that has leases takes no other.
+	Leases bool `json:"leases,omitempty"`
+}
+
+// Lease is a row of GET /lease, and the answer to whoever asks for one.
+type Lease struct {
+	Name    string         `json:"name"`
+	Holder  string         `json:"holder"`
+	Token   uint64         `json:"token"`
+	TTLMS   int64          `json:"ttl_ms"`
+	LeftMS  int64          `json:"left_ms,omitempty"` // without a keep-alive, as the leader counts
+	Revoked bool           `json:"revoked,omitempty"`
+	Waiters []lease.Waiter `json:"waiters,omitempty"` // who is next goes first
+}
+
+// Acquire asks for a lease.
+type Acquire struct {
+	Holder   string `json:"holder"` // nobody else goes by this name
+	TTLMS    int64  `json:"ttl_ms"`
+	WaitMS   int64  `json:"wait_ms"` // 0 is not at all
+	Priority int    `json:"priority"`
+}
+
+// Renew keeps leases alive: one (Token, as the path names it), or many.
+type Renew struct {
+	Token  uint64       `json:"token,omitempty"`
+	Leases []lease.Held `json:"leases,omitempty"`
+}
+
+// Gone names leases that are not the caller's any more.
+type Gone struct {
+	Gone []string `json:"gone"`
+}
+
+// ParseLease reads NAME/TOKEN.
+func ParseLease(text string) (h lease.Held, err error) {
+	at := strings.LastIndex(text, "/")
+	if at > 0 {
+		h.Name = text[:at]
+		h.Token, err = strconv.ParseUint(text[at+1:], 10, 64)
+	}
+	if at <= 0 || err != nil || h.Token == 0 {
+		return h, fmt.Errorf("%w: %s: %.150q is not NAME/TOKEN", kv.ErrRequest, HeadLease, text)
+	}
+	return h, nil
 }
 
 // ReadIndex is the answer of a leader to GET /index.
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -11,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"oxbowbridge/internal/backup"
@@ -26,7 +28,26 @@
 	Budget  Budget
 	Session uint64 // opened by the first write
 	number  uint64
-	cluster string // that answered first: no other is asked for more
+	cluster *cluster
+}
+
+// cluster is the one that answered first: no other is asked for more. Copies of a client
+// share it.
+type cluster struct {
+	mu sync.Mutex
+	id string
+}
+
+func (c *cluster) get() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.id
+}
+
+func (c *cluster) first(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.id = cmp.Or(c.id, id)
 }
 
 // Budget bounds repeated attempts: how many follow the first, and the pause before
@@ -61,7 +82,7 @@
 
 // New makes one for some nodes.
 func New(nodes []string) *Client {
-	return &Client{Nodes: nodes, HTTP: &http.Client{Timeout: 2 * storeapi.ApplyTime}, Budget: defaultBudget()}
+	return &Client{Nodes: nodes, HTTP: &http.Client{Timeout: 2 * storeapi.ApplyTime}, Budget: defaultBudget(), cluster: &cluster{}}
 }
 
 // do asks one node after the other until one gives a final answer. What it asks may
@@ -90,9 +111,7 @@
 			last = err
 			continue
 		}
-		if c.cluster == "" {
-			c.cluster = res.Header.Get(storeapi.HeadCluster)
-		}
+		c.cluster.first(res.Header.Get(storeapi.HeadCluster))
 		text, err := io.ReadAll(io.LimitReader(res.Body, answerMost))
 		res.Body.Close()
 		if err == nil && res.StatusCode != http.StatusServiceUnavailable {
@@ -107,8 +126,8 @@
 
 // ofCluster has a node of another cluster refuse a request.
 func (c *Client) ofCluster(req *http.Request) {
-	if c.cluster != "" {
-		req.Header.Set(storeapi.HeadCluster, c.cluster)
+	if id := c.cluster.get(); id != "" {
+		req.Header.Set(storeapi.HeadCluster, id)
 	}
 }
 
@@ -209,7 +228,7 @@
 
 // One asks one node, once; to may be nil.
 func (c *Client) One(ctx context.Context, node, method, path string, body []byte, to any) error {
-	one := &Client{Nodes: []string{node}, HTTP: c.HTTP, cluster: c.cluster}
+	one := &Client{Nodes: []string{node}, HTTP: c.HTTP, cluster: &cluster{id: c.cluster.get()}} // what it answers binds nobody
 	return one.ask(ctx, method, path, body, to)
 }
 
--- /dev/null
+++ b/tests/contenders_test.go
@@ -0,0 +1,299 @@
+package tests
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oxbowbridge/internal/rig"
+)
+
+const envActor = "OXBOWBRIDGE_TEST_ACTOR"
+
+// actor is the command of a contender: this test's own program, which acts on the resource
+// without pause and without asking anybody, for as long as it is let.
+func actor(url string) int {
+	web := &http.Client{Timeout: time.Second}
+	query := "?holder=" + os.Getenv("HOLDER") + "&token=" + os.Getenv("OXBOWBRIDGE_LEASE_TOKEN")
+	most, _ := strconv.Atoi(os.Getenv("ACTS"))
+	for range most {
+		time.Sleep(3 * time.Millisecond)
+		res, err := web.Post(url+"/act"+query, "", nil)
+		if err == nil {
+			res.Body.Close()
+		}
+	}
+	return 0
+}
+
+// contender is a process that wants the lease again and again, and acts under it. It
+// reaches each node of the store over a link of its own.
+type contender struct {
+	t     *testing.T
+	name  string
+	nodes []string
+	links []*rig.Link
+	url   string
+	ttl   time.Duration
+
+	mu     sync.Mutex
+	runs   int
+	cmd    *exec.Cmd
+	ended  bool
+	log    strings.Builder
+	cycles sync.WaitGroup
+}
+
+func newContender(t *testing.T, c *cluster, i int, res *rig.Resource, ttl time.Duration) *contender {
+	x := &contender{t: t, name: fmt.Sprint("c", i), url: res.URL, ttl: ttl}
+	for n := range c.Peers {
+		l, err := rig.NewLink(c.Peers[(n+i)%len(c.Peers)].Admin)
+		require.NoError(t, err)
+		t.Cleanup(l.Close)
+		x.links, x.nodes = append(x.links, l), append(x.nodes, l.Addr)
+	}
+	x.cycles.Go(x.cycle)
+	t.Cleanup(x.end)
+	return x
+}
+
+// cycle runs the command under the lease, again and again.
+func (x *contender) cycle() {
+	for {
+		x.mu.Lock()
+		if x.ended {
+			x.mu.Unlock()
+			return
+		}
+		x.runs++
+		holder := fmt.Sprintf("%s-%d", x.name, x.runs)
+		x.cmd = exec.Command(program, "lease", "run", "job", "--ttl", x.ttl.String(), "--holder", holder, "--nodes", strings.Join(x.nodes, ","),
+			"--", os.Args[0])
+		x.cmd.Env = append(os.Environ(), envActor+"="+x.url, "HOLDER="+holder, fmt.Sprint("ACTS=", 80+x.runs*37%160))
+		x.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+		x.cmd.Stderr = &x.log
+		err := x.cmd.Start()
+		cmd := x.cmd
+		x.mu.Unlock()
+		if err != nil {
+			x.t.Errorf("contender: %v", err)
+			return
+		}
+		cmd.Wait()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (x *contender) end() {
+	x.mu.Lock()
+	x.ended = true
+	x.cmd.Process.Kill()
+	x.mu.Unlock()
+	x.signal(syscall.SIGCONT)
+	x.cycles.Wait()
+}
+
+// family are the present process and all below it, in any process group.
+func (x *contender) family() []int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	parents := map[int]int{}
+	lists, _ := filepath.Glob("/proc/[0-9]*/stat")
+	for _, l := range lists {
+		text, _ := os.ReadFile(l)
+		_, rest, _ := strings.Cut(string(text), ") ")
+		var state string
+		var parent int
+		if n, _ := fmt.Sscan(rest, &state, &parent); n == 2 {
+			pid, _ := strconv.Atoi(filepath.Base(filepath.Dir(l)))
+			parents[pid] = parent
+		}
+	}
+	all := []int{x.cmd.Process.Pid}
+	for i := 0; i < len(all); i++ {
+		for pid, parent := range parents {
+			if parent == all[i] {
+				all = append(all, pid)
+			}
+		}
+	}
+	return all
+}
+
+// signal goes to all of them. When they go on, the command does so a moment earlier than
+// those that stop it, as may happen.
+func (x *contender) signal(sig syscall.Signal) {
+	var rest []int
+	for _, pid := range x.family() {
+		if exe, _ := os.Readlink(fmt.Sprintf("/proc/%d/exe", pid)); exe != program && sig == syscall.SIGCONT {
+			syscall.Kill(pid, sig)
+		} else {
+			rest = append(rest, pid)
+		}
+	}
+	if sig == syscall.SIGCONT {
+		time.Sleep(30 * time.Millisecond)
+	}
+	for _, pid := range rest {
+		syscall.Kill(pid, sig)
+	}
+}
+
+// alone goes to the process that holds the lease, and not to its command or its guard.
+func (x *contender) alone(sig syscall.Signal) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.cmd.Process.Signal(sig)
+}
+
+func (x *contender) set(m rig.Mode) {
+	for _, l := range x.links {
+		l.Set(m)
+	}
+}
+
+// stage is nodes of the store and contenders for one lease.
+type stage struct {
+	*cluster
+	res  *rig.Resource
+	list []*contender
+	ttl  time.Duration
+}
+
+func newStage(t *testing.T, nodes, contenders int, fence bool) *stage {
+	c := newNodes(t, nodes, nodes)
+	c.Wire()
+	c.Begin()
+	s := &stage{cluster: c, res: rig.NewResource(t, fence), ttl: time.Second}
+	for i := range contenders {
+		s.list = append(s.list, newContender(t, c, i, s.res, s.ttl))
+	}
+	await(t, "a first act", func() bool { _, acts, _ := s.res.Counts(); return acts > 0 })
+	return s
+}
+
+// holder waits for a contender that has the lease and acts.
+func (s *stage) holder() (x *contender, token uint64) {
+	rig.Await(s.T, "a holder that acts", func() bool {
+		a, ok := s.res.Last()
+		for _, c := range s.list {
+			if name, _, _ := strings.Cut(a.Holder, "-"); ok && time.Since(a.End) < 50*time.Millisecond && c.name == name {
+				x, token = c, a.Token
+			}
+		}
+		return x != nil
+	})
+	return x, token
+}
+
+// faults are those of the store's nodes and of the holder, which comes with its token.
+func (s *stage) faults() []rig.Fault {
+	var at *contender
+	with := func(do func(x *contender)) func(int) {
+		return func(int) { at, _ = s.holder(); do(at) }
+	}
+	undo := func(do func(x *contender)) func(int) { return func(int) { do(at) } }
+	held := rig.Mode{Out: true, Back: true}
+	all := func(do func(i int)) func(int) {
+		return func(int) {
+			for i := range s.Peers {
+				do(i)
+			}
+		}
+	}
+	heal := func(i int) { s.Around(i, rig.Mode{}, rig.Mode{}) }
+	slow := rig.Mode{Delay: 15 * time.Millisecond}
+	long := func(do func(x *contender)) func(int) {
+		return with(func(x *contender) { do(x); time.Sleep(2 * s.ttl) })
+	}
+	return []rig.Fault{
+		{Name: "all at once", Leader: true, Do: func(i int) {
+			s.list[int(*seed)%len(s.list)].alone(syscall.SIGKILL)
+			s.Around((i+1)%len(s.Peers), rig.Mode{Out: true}, rig.Mode{})
+			s.Around((i+2)%len(s.Peers), slow, slow)
+			s.Stop(i)
+			long(func(x *contender) { x.signal(syscall.SIGSTOP) })(i)
+		}, Undo: func(i int) {
+			at.signal(syscall.SIGCONT)
+			s.Continue(i)
+			s.Heal()
+		}},
+		{Name: "leader killed", Leader: true, Do: s.Kill, Undo: s.Start},
+		{Name: "leader stopped", Leader: true, Do: s.Stop, Undo: s.Continue},
+		{Name: "leader cut off", Do: func(i int) { s.Around(i, rig.Mode{Cut: true}, rig.Mode{Cut: true}) }, Undo: heal},
+		{Name: "leader not heard", Do: func(i int) { s.Around(i, rig.Mode{Out: true}, rig.Mode{}) }, Undo: heal},
+		{Name: "all links of the store slow", Do: all(func(i int) { s.Around(i, slow, slow) }), Undo: all(heal)},
+		{Name: "all nodes killed", Do: all(s.Kill), Undo: all(s.Start)},
+		{Name: "holder and its command stopped", Do: long(func(x *contender) { x.signal(syscall.SIGSTOP) }), Undo: undo(func(x *contender) { x.signal(syscall.SIGCONT) })},
+		{Name: "holder stopped, its command goes on", Do: long(func(x *contender) { x.alone(syscall.SIGSTOP) }), Undo: undo(func(x *contender) { x.alone(syscall.SIGCONT) })},
+		{Name: "holder killed", Do: with(func(x *contender) { x.alone(syscall.SIGKILL) }), Undo: func(int) {}},
+		{Name: "holder cut off from the store", Do: with(func(x *contender) { x.set(rig.Mode{Cut: true}) }), Undo: undo(func(x *contender) { x.set(rig.Mode{}) })},
+		{Name: "holder's answers are lost", Do: with(func(x *contender) { x.set(rig.Mode{Back: true}) }), Undo: undo(func(x *contender) { x.set(rig.Mode{}) })},
+		{Name: "holder half open", Do: with(func(x *contender) { x.set(held) }), Undo: undo(func(x *contender) { x.set(rig.Mode{}) })},
+	}
+}
+
+// TestContenders: seven processes want one lease of five nodes, while leaders and holders
+// are killed, stopped and cut off. No two act at once, tokens only grow, and what one does
+// that stood still is refused. -faults 10m is its long form, and prints its table with -v.
+func TestContenders(t *testing.T) {
+	t.Parallel()
+	replay(t)
+	s := newStage(t, 5, 7, true)
+	faults := s.faults()
+	plan := rig.NewSchedule(*seed, 5, s.ttl, faults...)
+	began, gaps, refused := time.Now(), map[string][]time.Duration{}, map[string]int{}
+	for n := 0; n < len(faults) || time.Since(began) < *faultTime; n++ {
+		turn := plan.Next()
+		f := turn.Fault
+		i := s.Leader()
+		s.holder()
+		time.Sleep(turn.Before)
+		_, _, before := s.res.Counts()
+		at := time.Now()
+		f.Do(i)
+		time.Sleep(turn.For)
+		f.Undo(i)
+		undone := time.Now()
+		await(t, "an act after "+f.Name, func() bool { return s.res.ActsAfter(undone) })
+		gaps[f.Name] = append(gaps[f.Name], s.res.Gap(at).Round(time.Millisecond))
+		_, _, after := s.res.Counts()
+		refused[f.Name] += after - before
+	}
+	tokens, acts, all := s.res.Counts()
+	assert.Empty(t, s.res.Wrong())
+	assert.Greater(t, tokens, len(faults))
+	t.Logf("seed %d, %v: %d tokens acted, %d acts, %d acts refused by the fence", *seed, time.Since(began).Round(time.Second), tokens, acts, all)
+	for _, f := range faults {
+		list := gaps[f.Name]
+		if slices.Sort(list); len(list) > 0 {
+			t.Logf("| %s | %d | %v | %v | %v | %d |", f.Name, len(list), list[len(list)/2], list[len(list)*99/100], list[len(list)-1], refused[f.Name])
+		}
+	}
+}
+
+// TestContendersNoFence: the check sees what the fence keeps out.
+func TestContendersNoFence(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, 3, 3, false)
+	await(t, "an act of one that stood still", func() bool {
+		x, token := s.holder()
+		x.signal(syscall.SIGSTOP)
+		await(t, "the next holder", func() bool { a, _ := s.res.Last(); return a.Token != token })
+		x.signal(syscall.SIGCONT)
+		time.Sleep(100 * time.Millisecond)
+		return len(s.res.Wrong()) > 0
+	})
+}
--- a/tests/disks_test.go
+++ b/tests/disks_test.go
@@ -63,6 +63,7 @@
 	await(t, "a line that says what is waited for", func() bool {
 		return strings.Contains(c.nodes[2].log(), `"msg":"store waits"`) && strings.Contains(c.nodes[2].log(), "must say that this disk is not older")
 	})
+	await(t, "an answer of the wiped node", func() bool { code, _ := c.HTTP(1, "GET", "/status", ""); return code == 200 })
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); { // six elections' worth
 		for i := 1; i <= 2; i++ {
 			code, text := c.HTTP(i, "GET", "/store/note/1", "")
--- /dev/null
+++ b/tests/leases_test.go
@@ -0,0 +1,396 @@
+package tests
+
+import (
+	"bytes"
+	"context"
+	"database/sql"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oxbowbridge/internal/backup"
+	"oxbowbridge/internal/leaseclient"
+	"oxbowbridge/internal/rig"
+	"oxbowbridge/internal/storeapi"
+)
+
+// grant asks a node for a lease until its answer is a sure one.
+func (c *cluster) grant(node int, name, body string) (code int, l storeapi.Lease) {
+	rig.Await(c.T, "an answer to a request for a lease", func() bool {
+		var text string
+		code, text = c.HTTP(node, "POST", "/lease/"+name, body)
+		l = storeapi.Lease{}
+		return code != 503 && code != 0 && (code >= 400 && code != 409 || json.Unmarshal([]byte(text), &l) == nil)
+	})
+	return code, l
+}
+
+// sure asks until it is not told to ask again.
+func (c *cluster) sure(node int, method, path, body string, fields ...string) (code int, text string) {
+	rig.Await(c.T, method+" "+path, func() bool {
+		req, err := http.NewRequest(method, "http://"+c.Peers[node].Admin+path, strings.NewReader(body))
+		if err != nil {
+			return false
+		}
+		for i := 0; i < len(fields); i += 2 {
+			req.Header.Add(fields[i], fields[i+1])
+		}
+		res, err := (&http.Client{Timeout: patience}).Do(req)
+		if err != nil {
+			return false
+		}
+		defer res.Body.Close()
+		b, _ := io.ReadAll(res.Body)
+		code, text = res.StatusCode, string(b)
+		return code != 503
+	})
+	return code, text
+}
+
+// TestLeases: any node takes requests for leases; who has one, waits, or asks for what
+// can't be, is told so, and tokens only grow.
+func TestLeases(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	code, first := c.grant(0, "job/a", `{"holder":"h1","ttl_ms":60000}`)
+	require.Equal(t, 200, code)
+	code, same := c.grant(1, "job/a", `{"holder":"h1","ttl_ms":60000}`)
+	assert.Equal(t, []any{200, first.Token}, []any{code, same.Token}, "its answer was lost")
+	code, held := c.grant(2, "job/a", `{"holder":"h2","ttl_ms":60000}`)
+	assert.Equal(t, []any{409, "h1", first.Token}, []any{code, held.Holder, held.Token})
+	for i := range 3 {
+		code, text := c.sure(i, "PUT", "/lease/job/a", fmt.Sprintf(`{"token":%d}`, first.Token))
+		assert.Equal(t, 200, code, text)
+		code, text = c.sure(i, "PUT", "/lease/job/a", fmt.Sprintf(`{"token":%d}`, first.Token+9))
+		assert.Equal(t, 410, code, text)
+		code, text = c.sure(i, "GET", "/lease/job/a", "")
+		assert.Equal(t, 200, code)
+		assert.Contains(t, text, `"holder":"h1"`)
+		code, _ = c.sure(i, "GET", "/lease/other", "")
+		assert.Equal(t, 404, code)
+	}
+	// Writes that hold only under the lease.
+	fence := fmt.Sprintf("job/a/%d", first.Token)
+	code, text := c.sure(1, "PUT", "/store/note/f", "1", "Lease", fence)
+	assert.Equal(t, 204, code, text)
+	code, _ = c.sure(2, "PUT", "/store/note/f", "2", "Lease", fmt.Sprintf("job/a/%d", first.Token-1))
+	assert.Equal(t, 412, code)
+	code, _ = c.sure(0, "DELETE", "/store/note/f", "", "Lease", "job/b/1")
+	assert.Equal(t, 412, code)
+	txn := `{"then":[{"do":"put","key":"note/f","value":3}]}`
+	code, _ = c.sure(0, "POST", "/txn", txn, "Lease", fence, "Lease", "job/b/1")
+	assert.Equal(t, 412, code)
+	code, _ = c.sure(0, "POST", "/txn", txn, "Lease", fence)
+	assert.Equal(t, 200, code)
+	code, _ = c.sure(0, "PUT", "/store/note/f", "4", "Lease", "nonsense")
+	assert.Equal(t, 400, code)
+	c.Has(2, "note/f", "3")
+	// The queue: by priority, then in the order of coming; each waits at another node.
+	type got struct {
+		holder string
+		code   int
+		token  uint64
+	}
+	answers := make(chan got, 3)
+	for i, w := range []string{"w0", "w1", "w2"} {
+		go func() {
+			code, l := c.grant(i, "job/a", fmt.Sprintf(`{"holder":%q,"ttl_ms":60000,"wait_ms":20000,"priority":%d}`, w, map[string]int{"w2": 1}[w]))
+			answers <- got{w, code, l.Token}
+		}()
+		await(t, w+" in the queue", func() bool {
+			_, text := c.HTTP(0, "GET", "/lease/job/a", "")
+			return strings.Contains(text, `"holder":"`+w+`"`)
+		})
+	}
+	last := first.Token
+	for _, want := range []string{"w2", "w1", "w0"} { // w1 by being handed it
+		path := fmt.Sprintf("/lease/job/a?token=%d", last)
+		if want == "w1" {
+			code, _ = c.sure(0, "DELETE", path+"&to=nobody", "")
+			assert.Equal(t, 409, code)
+			path += "&to=w1"
+		}
+		code, text := c.sure(2, "DELETE", path, "")
+		assert.Equal(t, 204, code, text)
+		a := <-answers
+		assert.Equal(t, []any{want, 200}, []any{a.holder, a.code})
+		assert.Greater(t, a.token, last)
+		last = a.token
+	}
+	code, _ = c.sure(0, "DELETE", fmt.Sprintf("/lease/job/a?token=%d", first.Token), "")
+	assert.Equal(t, 410, code)
+	// One that goes away while it waits leaves the queue.
+	web := &http.Client{Timeout: 500 * time.Millisecond}
+	_, err := web.Post("http://"+c.Peers[1].Admin+"/lease/job/a", "", strings.NewReader(`{"holder":"gone","ttl_ms":60000,"wait_ms":20000}`))
+	require.Error(t, err)
+	await(t, "an empty queue", func() bool {
+		code, text := c.HTTP(0, "GET", "/lease/job/a", "")
+		return code == 200 && !strings.Contains(text, "gone")
+	})
+	// What can't be.
+	for _, bad := range [][2]string{{"job/a", `{"holder":"","ttl_ms":5000}`}, {"job/a", `{"holder":"h","ttl_ms":1}`}, {"a%20b", `{"holder":"h","ttl_ms":5000}`},
+		{"job/a", `{"holder":"h","ttl_ms":5000,"wait_ms":-1}`}, {"job/a", `{"holder":"h","ttl_ms":5000,"wait_ms":99999999}`}, {"job/a", `{"nonsense":1}`}} {
+		code, text := c.sure(1, "POST", "/lease/"+bad[0], bad[1])
+		assert.Equal(t, 400, code, "%v: %s", bad, text)
+	}
+	for _, path := range []string{"/lease/job/a", "/lease/job/a?token=x", "/lease/job/a?token=1&revoke=1"} {
+		code, _ = c.sure(1, "DELETE", path, "")
+		assert.Equal(t, 400, code, path)
+	}
+	code, _ = c.sure(1, "POST", "/txn", `{"leases":[{"do":"acquire","name":"x","holder":"y","ttl_ms":5000}],"then":[]}`)
+	assert.Equal(t, 400, code)
+}
+
+// TestLeaseExpires: a lease that nobody keeps alive ends, not before its time, also when
+// the leader is lost; all nodes killed at once, it is held on.
+func TestLeaseExpires(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	const ttl = 3 * time.Second
+	ask := func(node int, holder string, wait time.Duration) (int, storeapi.Lease) {
+		return c.grant(node, "job", fmt.Sprintf(`{"holder":%q,"ttl_ms":%d,"wait_ms":%d}`, holder, ttl.Milliseconds(), wait.Milliseconds()))
+	}
+	code, l := ask(0, "h0", 0)
+	require.Equal(t, 200, code)
+	for n, fault := range []func(){func() {}, func() { i := c.Leader(); c.Kill(i); c.Start(i) }, func() { c.KillAll(); c.Start(0); c.Start(1); c.Start(2) }} {
+		var at time.Time
+		await(t, "a keep-alive", func() bool {
+			at = time.Now()
+			code, _ := c.HTTP(n, "PUT", "/lease/job", fmt.Sprintf(`{"token":%d}`, l.Token))
+			if code == 410 { // a slow machine
+				_, l = ask(n, "again", 15*time.Second)
+			}
+			return code == 200
+		})
+		fault()
+		code, next := ask(n, fmt.Sprint("next", n), 15*time.Second)
+		require.Equal(t, 200, code)
+		assert.GreaterOrEqual(t, time.Since(at), ttl, "fault %d", n)
+		assert.Greater(t, next.Token, l.Token)
+		l = next
+	}
+	// Revoked: not kept alive any more, and no one else's before its time is over.
+	code, text := c.sure(0, "DELETE", "/lease/job?revoke=1", "")
+	assert.Equal(t, 204, code, text)
+	code, _ = c.sure(0, "PUT", "/lease/job", fmt.Sprintf(`{"token":%d}`, l.Token))
+	assert.Equal(t, 410, code)
+	code, _ = ask(0, l.Holder, 0)
+	assert.Equal(t, 409, code)
+}
+
+// TestTokensGrow: over a restore from a backup into another cluster, and over a cluster
+// that is made anew of one node.
+func TestTokensGrow(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	_, before := c.grant(0, "job", `{"holder":"h","ttl_ms":500}`)
+	_, text := c.sure(0, "GET", "/backup", "")
+	later := before
+	for i := range 5 { // after the backup
+		_, later = c.grant(0, fmt.Sprint("job", i), `{"holder":"h","ttl_ms":500}`)
+	}
+	other := newCluster(t, nil)
+	code, answer := other.sure(0, "POST", "/restore", text)
+	require.Equal(t, 200, code, answer)
+	code, l := other.grant(1, "job", `{"holder":"h","ttl_ms":500}`)
+	assert.Equal(t, 200, code, "leases are not restored")
+	assert.Greater(t, l.Token, later.Token)
+	c.KillAll()
+	path := c.nodes[1].path
+	out, errs, code := cli(t, "", "store", "recover", path, "--json")
+	require.Zero(t, code, errs)
+	var left struct{ Cluster string }
+	require.NoError(t, json.Unmarshal([]byte(out), &left))
+	_, errs, code = cli(t, "", "store", "recover", path, "--cluster", left.Cluster)
+	require.Zero(t, code, errs)
+	c.Start(1)
+	c.Leader()
+	code, l = c.grant(1, "new", `{"holder":"h","ttl_ms":500}`)
+	require.Equal(t, 200, code)
+	assert.Greater(t, l.Token, later.Token+lostMost)
+}
+
+const lostMost = 1000 // tokens that a lost majority may have given besides
+
+// TestLeaseCommands: the command line, and a command that is stopped in time.
+func TestLeaseCommands(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	all := "--nodes=" + strings.Join(c.client().Nodes, ",")
+	out, errs, code := cli(t, "", "lease", "acquire", "job", "--holder=h1", "--ttl=60s", "--json", all)
+	require.Zero(t, code, errs)
+	var l storeapi.Lease
+	require.NoError(t, json.Unmarshal([]byte(out), &l))
+	_, errs, code = cli(t, "", "lease", "acquire", "job", all)
+	assert.Equal(t, 1, code)
+	assert.Contains(t, errs, "lease is held by h1")
+	_, errs, code = cli(t, "", "lease", "run", "job", "--wait=300ms", all, "--", "true")
+	assert.Equal(t, 1, code)
+	assert.Contains(t, errs, "lease is held")
+	out, _, code = cli(t, "", "lease", "list", all)
+	assert.Zero(t, code)
+	assert.Contains(t, out, "h1")
+	assert.Contains(t, out, "fleet/sessions")
+	out, _, code = cli(t, "", "lease", "show", "job", all)
+	assert.Zero(t, code)
+	assert.Contains(t, out, fmt.Sprint(l.Token))
+	_, errs, code = cli(t, "", "lease", "release", "job", fmt.Sprint("--token=", l.Token), all)
+	assert.Zero(t, code, errs)
+	out, errs, code = cli(t, "", "lease", "run", "job", all, "--", "sh", "-c", "echo token $OXBOWBRIDGE_LEASE_TOKEN; exit 7")
+	assert.Equal(t, 7, code, errs)
+	assert.Regexp(t, `^token [1-9]\d+\n`, out)
+	for _, bad := range [][]string{{"run", "job", "--grace=9s", "--", "true"}, {"run", "job", "--", "no-such-program"}, {"acquire", "a b"}, {"release", "job"}, {"show"}} {
+		_, _, code = cli(t, "", append(append([]string{"lease"}, bad...), all)...)
+		assert.Equal(t, 2, code, bad)
+	}
+	// Revoked while the command runs: it is told to end, at the next sign of life.
+	type result struct {
+		out, errs string
+		code      int
+	}
+	ended := make(chan result, 1)
+	go func() {
+		out, errs, code := cli(t, "", "lease", "run", "long", "--ttl=2s", all, "--", "sh", "-c", "trap 'echo told; exit 5' TERM; while :; do sleep 0.05; done")
+		ended <- result{out, errs, code}
+	}()
+	await(t, "the lease to be held", func() bool { code, _ := c.HTTP(0, "GET", "/lease/long", ""); return code == 200 })
+	time.Sleep(200 * time.Millisecond)
+	_, errs, code = cli(t, "", "lease", "revoke", "long", all)
+	assert.Zero(t, code, errs)
+	r := <-ended
+	assert.Equal(t, 5, r.code, r.errs)
+	assert.Equal(t, "told\n", r.out)
+	assert.Contains(t, r.errs, "lease is lost")
+}
+
+// TestFleetTasks: of three nodes one writes the store of record and one takes backups;
+// when it is lost another does. What an older holder writes is refused by the database.
+func TestFleetTasks(t *testing.T) {
+	t.Parallel()
+	c := newNodes(t, 3, 3)
+	path, dir := filepath.Join(t.TempDir(), "record.db"), filepath.Join(t.TempDir(), "backups")
+	c.Fields["sql"] = object{"driver": "sqlite", "dsn": "file:" + path + "?_pragma=busy_timeout(5000)"}
+	c.Fields["backup"] = object{"dir": dir, "every": "1s", "keep": 3}
+	c.Begin()
+	db, err := sql.Open("sqlite", "file:"+path+"?_pragma=busy_timeout(5000)")
+	require.NoError(t, err)
+	defer db.Close()
+	recorded := func(key string) bool {
+		var n int
+		return db.QueryRow(`SELECT count(*) FROM oxbowbridge_store WHERE name = $1`, key).Scan(&n) == nil && n == 1
+	}
+	holder := func(name string) (node int, token uint64) {
+		await(t, "a holder of "+name, func() bool {
+			var l storeapi.Lease
+			if !c.Ask(c.Leader(), "/lease/"+name, &l) {
+				return false
+			}
+			node, token = int(l.Holder[1]-'0'), l.Token
+			return true
+		})
+		return node, token
+	}
+	files := func() (names []string) {
+		list, _ := os.ReadDir(dir)
+		for _, f := range list {
+			names = append(names, f.Name())
+		}
+		return names
+	}
+	c.Put(0, "note/1", "1")
+	await(t, "the store of record", func() bool { return recorded("note/1") })
+	await(t, "three backups", func() bool { return len(files()) >= 3 })
+	at, token := holder("fleet/mirror")
+	c.Stop(at) // stands still, and another one goes on
+	next := (at + 1) % 3
+	await(t, "another holder", func() bool {
+		var l storeapi.Lease
+		return c.Ask(next, "/lease/fleet/mirror", &l) && l.Token > token
+	})
+	c.Put(next, "note/2", "2")
+	await(t, "the store of record by another", func() bool { return recorded("note/2") })
+	c.Continue(at)
+	c.Has(at, "note/2", "2")
+	newest := files()
+	at, _ = holder("fleet/backup")
+	c.Kill(at)
+	await(t, "backups by another node", func() bool {
+		now := files()
+		return len(now) > 0 && now[len(now)-1] > newest[len(newest)-1]
+	})
+	c.Start(at)
+	assert.LessOrEqual(t, len(files()), 4, "one may just have been written")
+	for _, name := range files() {
+		text, err := os.ReadFile(filepath.Join(dir, name))
+		if os.IsNotExist(err) {
+			continue // removed meanwhile
+		}
+		require.NoError(t, err)
+		_, _, err = backup.Read(bytes.NewReader(text))
+		assert.NoError(t, err, name)
+	}
+	// A higher token in the database, as one that another cluster has put there: nothing
+	// is written any more, and the node says why.
+	_, err = db.Exec(`UPDATE oxbowbridge_lease SET token = 9000000000000000`)
+	require.NoError(t, err)
+	c.Put(0, "note/3", "3")
+	await(t, "a refusal by the database", func() bool {
+		for i := range 3 {
+			var st storeapi.Status
+			if c.Ask(i, "/status", &st) && strings.Contains(st.SQLError, "higher token") {
+				return true
+			}
+		}
+		return false
+	})
+	assert.False(t, recorded("note/3"))
+}
+
+// TestKeeperEndsInTime: a holder that gets no answer any more has its context ended before
+// the lease can be another's; many leases travel in one keep-alive.
+func TestKeeperEndsInTime(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	var links []*rig.Link
+	var nodes []string
+	for _, p := range c.Peers {
+		l, err := rig.NewLink(p.Admin)
+		require.NoError(t, err)
+		defer l.Close()
+		links, nodes = append(links, l), append(nodes, l.Addr)
+	}
+	k := leaseclient.New(nodes, "cut-off")
+	defer k.Close()
+	const ttl = 2 * time.Second
+	var held []*leaseclient.Held
+	for i := range 20 {
+		h, err := k.Acquire(t.Context(), leaseclient.Wish{Name: fmt.Sprint("job/", i), TTL: ttl, Wait: true})
+		require.NoError(t, err)
+		held = append(held, h)
+	}
+	time.Sleep(2 * ttl)
+	for _, h := range held {
+		require.NoError(t, h.Context().Err(), "is kept alive")
+	}
+	_, err := k.Acquire(t.Context(), leaseclient.Wish{Name: "job/0", TTL: ttl})
+	assert.ErrorIs(t, err, leaseclient.ErrTwice)
+	for _, l := range links {
+		l.Set(rig.Mode{Out: true, Back: true})
+	}
+	ends := make(chan time.Time, 1)
+	go func() { <-held[0].Context().Done(); ends <- time.Now() }()
+	code, _ := c.grant(0, "job/0", fmt.Sprintf(`{"holder":"next","ttl_ms":%d,"wait_ms":15000}`, ttl.Milliseconds()))
+	given := time.Now()
+	require.Equal(t, 200, code)
+	assert.True(t, (<-ends).Before(given))
+	assert.ErrorIs(t, context.Cause(held[0].Context()), leaseclient.ErrOver)
+}
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -36,6 +36,9 @@
 var program string
 
 func TestMain(m *testing.M) {
+	if url := os.Getenv(envActor); url != "" { // this process is the command of a contender
+		os.Exit(actor(url))
+	}
 	dir, err := os.MkdirTemp("", "oxbowbridge")
 	if err != nil {
 		panic(err)
