--- /dev/null
+++ b/internal/store/lease_state_test.go
@@ -0,0 +1,64 @@
+package store
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/hashicorp/raft"
+	"github.com/stretchr/testify/require"
+
+	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/lease"
+)
+
+type bufSink struct{ bytes.Buffer }
+
+func (*bufSink) ID() string    { return "x" }
+func (*bufSink) Cancel() error { return nil }
+func (*bufSink) Close() error  { return nil }
+
+// TestLeasesSurviveSnapshots: one that goes on from a snapshot gives the same tokens as one
+// that has applied every entry, whenever the snapshot is taken and written.
+func TestLeasesSurviveSnapshots(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		a := newState()
+		var copies []*state
+		var late []raft.FSMSnapshot
+		for i := uint64(1); i <= 400; i++ {
+			o := lease.Op{Do: []string{lease.Acquire, lease.Acquire, lease.Withdraw, lease.Release, lease.Expire, lease.Revoke, lease.HandOver}[rng.IntN(7)],
+				Name: fmt.Sprint("job", rng.IntN(3)), Holder: fmt.Sprint("h", rng.IntN(5)), TTLMS: 1000, Wait: rng.IntN(2) == 0, Priority: rng.IntN(2)}
+			o.Token = a.kv.Leases.Leases[o.Name].Token
+			text, err := json.Marshal(kv.Request{Leases: []lease.Op{o}})
+			require.NoError(t, err)
+			for _, s := range append(copies, a) {
+				s.Apply(&raft.Log{Index: i, Data: text})
+			}
+			if rng.IntN(40) == 0 {
+				snap, err := a.Snapshot()
+				require.NoError(t, err)
+				late = append(late, snap)
+				if rng.IntN(2) == 0 {
+					sink := &bufSink{}
+					require.NoError(t, snap.Persist(sink))
+					b := newState()
+					require.NoError(t, b.Restore(io.NopCloser(&sink.Buffer)))
+					copies = append(copies, b)
+				}
+			}
+		}
+		want, _ := json.Marshal(a.kv)
+		for _, c := range copies {
+			got, _ := json.Marshal(c.kv)
+			require.Equal(t, string(want), string(got), "seed %d", seed)
+		}
+		for _, l := range late { // written late, it is what it was
+			_, err := json.Marshal(l.(*snapshot).State)
+			require.NoError(t, err)
+		}
+	}
+}
--- a/internal/work/plan.go
+++ b/internal/work/plan.go
@@ -33,13 +33,15 @@
 	Zones    map[string]float64 // of each zone's
 	Windows  []Window           // none is always
 	Seed     uint64
-	Searches int // orders that are tried; 0 is searchDefault
+	Searches int // orders that are tried; 0 is as many as take a second or two
 }
 
 const (
-	searchDefault = 2000
-	exactMost     = 8 // tasks, up to which all orders are tried
-	planMost      = 5000
+	searchLeast = 20
+	searchMost  = 2000
+	searchWork  = 2_000_000 // orders by the square of the tasks
+	exactMost   = 8         // tasks, up to which all orders are tried
+	planMost    = 5000
 )
 
 // Placed is a task with its time.
@@ -124,7 +126,7 @@
 func (q Question) search(fixed, order []Task, best *Plan) {
 	rng := rand.New(rand.NewPCG(q.Seed, 17))
 	now, length := slices.Clone(order), best.Length
-	for range cmp.Or(q.Searches, searchDefault) {
+	for range cmp.Or(q.Searches, min(max(searchWork/(len(order)*len(order)), searchLeast), searchMost)) {
 		if best.Length <= best.Bound {
 			return
 		}
