Orders of work: one listener a node; twins in commands and tests merged

One fault was in it: with limits that can't be read, which pause was in force hung on the order of a map, and what an operator had seen of failures was lost. Change: storeadmin.Open makes the node's order and fleet takes it; beats are read in one place; the pause is read before the limits, which only add their reason; nodesCommand and overtaken serve the twins. Else behaviour stays, and the waking leader's reads must now be 503 where they are not 200, as the stopped leader's had to.

--- a/cmd/oxbowbridge/keeper.go
+++ b/cmd/oxbowbridge/keeper.go
@@ -43,11 +43,11 @@
 	if cfg.Store == nil {
 		return &keeper{}, nil
 	}
-	s, err := storeadmin.Open(*cfg.Store, log.Named("store"))
+	s, order, err := storeadmin.Open(*cfg.Store, log.Named("store"))
 	if err != nil {
 		return nil, fmt.Errorf("%w: store: %w", errConfig, err)
 	}
-	tasks, err := fleet.Start(s, *cfg.Store, log.Named("fleet"))
+	tasks, err := fleet.Start(s, order, *cfg.Store, log.Named("fleet"))
 	if err != nil {
 		s.Close()
 		return nil, fmt.Errorf("%w: store: %w", errConfig, err)
--- a/cmd/oxbowbridge/lease.go
+++ b/cmd/oxbowbridge/lease.go
@@ -35,14 +35,7 @@
 
 func leaseCommand() *cobra.Command {
 	s := &leaseCLI{}
-	c := &cobra.Command{Use: "lease", Short: "Leases of the replicated store: one holder acts at a time"}
-	c.PersistentFlags().StringSliceVar(&s.nodes, "nodes", []string{"127.0.0.1:7201"}, "admin addresses, any or all of them")
-	c.PersistentFlags().BoolVar(&s.asJSON, "json", false, "print JSON in place of tables")
-	add := func(use, short string, args cobra.PositionalArgs, run func(*cobra.Command, []string) error) *cobra.Command {
-		sub := &cobra.Command{Use: use, Short: short, RunE: run, Args: func(c *cobra.Command, a []string) error { return badCall(args(c, a)) }}
-		c.AddCommand(sub)
-		return sub
-	}
+	c, add := nodesCommand("lease", "Leases of the replicated store: one holder acts at a time", &s.nodes, &s.asJSON)
 	asks := func(sub *cobra.Command, a *asking, ttl, wait time.Duration, waits string) {
 		sub.Flags().DurationVar(&a.ttl, "ttl", ttl, "how long the lease goes on without a sign of its holder")
 		sub.Flags().DurationVar(&a.wait, "wait", wait, waits)
--- a/cmd/oxbowbridge/store.go
+++ b/cmd/oxbowbridge/store.go
@@ -34,16 +34,26 @@
 	undo   bool
 }
 
+type addCommand func(use, short string, args cobra.PositionalArgs, run func(*cobra.Command, []string) error) *cobra.Command
+
+// nodesCommand is a command whose sub-commands speak to the admin ports of a store, and
+// what adds one.
+func nodesCommand(use, short string, nodes *[]string, asJSON *bool) (*cobra.Command, addCommand) {
+	c := &cobra.Command{Use: use, Short: short}
+	c.PersistentFlags().StringSliceVar(nodes, "nodes", []string{"127.0.0.1:7201"}, "admin addresses, any or all of them")
+	c.PersistentFlags().BoolVar(asJSON, "json", false, "print JSON in place of tables")
+	return c, func(use, short string, args cobra.PositionalArgs, run func(*cobra.Command, []string) error) *cobra.Command {
+		sub := &cobra.Command{Use: use, Short: short, RunE: run, Args: func(c *cobra.Command, a []string) error { return badCall(args(c, a)) }}
+		c.AddCommand(sub)
+		return sub
+	}
+}
+
 func storeCommand() *cobra.Command {
 	s := &storeCLI{}
-	c := &cobra.Command{Use: "store", Short: "Read and write the replicated store, at any of its nodes"}
-	c.PersistentFlags().StringSliceVar(&s.nodes, "nodes", []string{"127.0.0.1:7201"}, "admin addresses, any or all of them")
-	c.PersistentFlags().BoolVar(&s.asJSON, "json", false, "print JSON in place of tables")
+	c, plain := nodesCommand("store", "Read and write the replicated store, at any of its nodes", &s.nodes, &s.asJSON)
 	add := func(use, short string, args cobra.PositionalArgs, run func(*cobra.Command, *storeclient.Client, []string) error) *cobra.Command {
-		sub := &cobra.Command{Use: use, Short: short, Args: func(c *cobra.Command, a []string) error { return badCall(args(c, a)) },
-			RunE: func(c *cobra.Command, a []string) error { return run(c, storeclient.New(s.nodes), a) }}
-		c.AddCommand(sub)
-		return sub
+		return plain(use, short, args, func(c *cobra.Command, a []string) error { return run(c, storeclient.New(s.nodes), a) })
 	}
 	s.addMembers(add)
 	add("status", "Show each node that --nodes names", cobra.NoArgs, s.status)
--- a/cmd/oxbowbridge/work.go
+++ b/cmd/oxbowbridge/work.go
@@ -37,14 +37,7 @@
 
 func workCommand() *cobra.Command {
 	s := &workCLI{}
-	c := &cobra.Command{Use: "work", Short: "Take machines out for work, in an order that the services settle"}
-	c.PersistentFlags().StringSliceVar(&s.nodes, "nodes", []string{"127.0.0.1:7201"}, "admin addresses, any or all of them")
-	c.PersistentFlags().BoolVar(&s.asJSON, "json", false, "print JSON in place of tables")
-	add := func(use, short string, args cobra.PositionalArgs, run func(*cobra.Command, []string) error) *cobra.Command {
-		sub := &cobra.Command{Use: use, Short: short, RunE: run, Args: func(c *cobra.Command, a []string) error { return badCall(args(c, a)) }}
-		c.AddCommand(sub)
-		return sub
-	}
+	c, add := nodesCommand("work", "Take machines out for work, in an order that the services settle", &s.nodes, &s.asJSON)
 	ask := add("ask MACHINE ...", "Ask for work on machines", cobra.MinimumNArgs(1), s.ask)
 	ask.Flags().StringVar(&s.reason, "reason", "", "what for")
 	ask.Flags().DurationVar(&s.length, "for", 10*time.Minute, "how long each is out at most")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -46,18 +46,15 @@
 	cancel context.CancelFunc
 	ended  sync.WaitGroup
 	keeper *leaseclient.Keeper
-	closed func()
 }
 
 // Start has a node take part in the tasks that it is set up for.
-func Start(s *store.Store, cfg store.Config, log *zap.Logger) (*Tasks, error) {
+func Start(s *store.Store, order *workorder.Order, cfg store.Config, log *zap.Logger) (*Tasks, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Tasks{cancel: cancel, keeper: leaseclient.New([]string{s.AdminAddress()}, s.Name()+":"+leaseclient.HolderName())}
 	list := []leaseclient.Task{{Name: LeaseSessions, TTL: ttl, Do: func(ctx context.Context, h *leaseclient.Held) error {
 		return endSessions(ctx, s, h)
 	}}}
-	order := workorder.New(s, log)
-	t.closed = order.Close
 	list = append(list, leaseclient.Task{Name: workorder.LeaseOrder, TTL: ttl, Do: func(ctx context.Context, h *leaseclient.Held) error {
 		return order.Run(ctx, h.Fence())
 	}})
@@ -93,7 +90,6 @@
 		t.cancel()
 		t.ended.Wait()
 		t.keeper.Close()
-		t.closed()
 	}()
 	select {
 	case <-done:
--- a/internal/storeadmin/admin.go
+++ b/internal/storeadmin/admin.go
@@ -47,27 +47,29 @@
 }
 
 // Open starts a node with its admin port. It finds the others by itself, and what it
-// missed.
-func Open(cfg store.Config, log *zap.Logger) (*store.Store, error) {
+// missed. With it comes the node's part in orders of work.
+func Open(cfg store.Config, log *zap.Logger) (*store.Store, *workorder.Order, error) {
 	s, err := store.New(cfg, log)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	if err := serve(s); err != nil {
-		return nil, err
+	order := workorder.New(s, log.Named("work"))
+	s.OnClose(order.Close)
+	if err := serve(s, order); err != nil {
+		order.Close()
+		return nil, nil, err
 	}
 	if err := s.Start(); err != nil {
 		s.Close()
-		return nil, err
+		return nil, nil, err
 	}
-	return s, nil
+	return s, order, nil
 }
 
-func serve(s *store.Store) error {
+func serve(s *store.Store, order *workorder.Order) error {
 	a := &admin{store: s, client: &http.Client{Timeout: storeapi.ApplyTime + time.Second}, patient: &http.Client{Timeout: storeapi.RestoreTime},
 		watchers: make(chan struct{}, watchersMost), forwards: make(chan struct{}, forwardedMost),
-		waits: make(chan struct{}, leaseMost), order: workorder.New(s, s.Log().Named("work"))}
-	s.OnClose(a.order.Close)
+		waits: make(chan struct{}, leaseMost), order: order}
 	ln, err := net.Listen("tcp", s.AdminAddress())
 	if err != nil {
 		return fmt.Errorf("admin address: %w", err)
--- a/internal/workorder/workorder.go
+++ b/internal/workorder/workorder.go
@@ -4,12 +4,10 @@
 package workorder
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -95,23 +93,25 @@
 			return
 		case <-tick.C:
 		}
-		all, _ := o.store.All()
-		if !slices.ContainsFunc(slices.Collect(maps.Keys(all)), func(key string) bool { return strings.HasPrefix(key, keyMachine) }) {
+		if len(o.beats()) == 0 {
 			continue // nobody takes part: nothing is asked of the others
 		}
-		if _, err := o.store.Fresh(ctx, store.Freshness{Stale: time.Second}); err != nil {
-			continue
+		if _, err := o.store.Fresh(ctx, store.Freshness{Stale: time.Second}); err == nil {
+			o.machines(o.beats(), nil)
 		}
-		all, _ = o.store.All()
-		var beats []work.Beat
-		for key, e := range all {
-			var b work.Beat
-			if strings.HasPrefix(key, keyMachine) && json.Unmarshal(e.Value, &b) == nil {
-				beats = append(beats, b)
-			}
+	}
+}
+
+// beats are the last words of all machines, as this node knows them.
+func (o *Order) beats() (list []work.Beat) {
+	all, _ := o.store.All()
+	for key, e := range all {
+		var b work.Beat
+		if strings.HasPrefix(key, keyMachine) && json.Unmarshal(e.Value, &b) == nil { // one that can't be read is none
+			list = append(list, b)
 		}
-		o.machines(beats, nil)
 	}
+	return list
 }
 
 // read is all that the store has of the order, with the revisions of the jobs.
@@ -128,45 +128,35 @@
 	r.revisions = map[string]uint64{}
 	r.view = work.View{NowMS: time.Now().UnixMilli(), Limits: work.DefaultLimits()}
 	all, _ := o.store.All()
-	var beats []work.Beat
+	if e, ok := all[keyPause]; ok {
+		if r.pause = e.Index; json.Unmarshal(e.Value, &r.view.Pause) != nil {
+			return r, fmt.Errorf("%s: can't be read", keyPause)
+		}
+	}
+	if e, ok := all[KeyLimits]; ok {
+		l := work.DefaultLimits()
+		err := json.Unmarshal(e.Value, &l)
+		if err == nil {
+			err = l.Check()
+		}
+		if err == nil {
+			r.view.Limits = l
+		} else { // nobody goes by limits that nobody meant
+			r.view.Pause.Paused, r.view.Pause.Why = true, fmt.Sprintf("%s: %v", KeyLimits, err)
+		}
+	}
 	for key, e := range all {
-		var err error
-		switch {
-		case key == KeyLimits:
-			l := work.DefaultLimits()
-			if err = json.Unmarshal(e.Value, &l); err == nil {
-				err = l.Check()
-			}
-			if err == nil {
-				r.view.Limits = l
-			} else { // nobody goes by limits that nobody meant
-				r.view.Pause = work.Pause{Paused: true, Why: fmt.Sprintf("%s: %v", KeyLimits, err)}
-			}
+		if !strings.HasPrefix(key, keyJob) {
 			continue
-		case key == keyPause:
-			var p work.Pause
-			err = json.Unmarshal(e.Value, &p)
-			if r.pause = e.Index; !r.view.Pause.Paused || p.Paused {
-				p.Paused, p.Why = p.Paused || r.view.Pause.Paused, cmp.Or(p.Why, r.view.Pause.Why)
-				r.view.Pause = p
-			}
-		case strings.HasPrefix(key, keyJob):
-			var j work.Job
-			if err = json.Unmarshal(e.Value, &j); err == nil {
-				r.view.Jobs, r.revisions[j.Node] = append(r.view.Jobs, j), e.Index
-			}
-		case strings.HasPrefix(key, keyMachine):
-			var b work.Beat
-			if err = json.Unmarshal(e.Value, &b); err == nil {
-				beats = append(beats, b)
-			}
 		}
-		if err != nil {
+		var j work.Job
+		if err := json.Unmarshal(e.Value, &j); err != nil {
 			return r, fmt.Errorf("%s: %w", key, err)
 		}
+		r.view.Jobs, r.revisions[j.Node] = append(r.view.Jobs, j), e.Index
 	}
 	slices.SortFunc(r.view.Jobs, func(a, b work.Job) int { return strings.Compare(a.Node, b.Node) })
-	r.view.Machines = o.machines(beats, r.view.Jobs)
+	r.view.Machines = o.machines(o.beats(), r.view.Jobs)
 	return r, nil
 }
 
--- a/tests/faults_test.go
+++ b/tests/faults_test.go
@@ -62,6 +62,30 @@
 	}
 }
 
+// overtaken has the others write a key while their former leader stands still, and reads
+// wait in its sockets: they are answered with that value, or not at all.
+func (c *cluster) overtaken(t *testing.T, stopped int, key, value string) *sync.WaitGroup {
+	others := storeclient.New([]string{c.Peers[(stopped+1)%3].Admin, c.Peers[(stopped+2)%3].Admin})
+	_, err := others.Put(t.Context(), key, json.RawMessage(value), nil)
+	require.NoError(t, err)
+	wg := &sync.WaitGroup{}
+	for range 20 {
+		conn, err := net.Dial("tcp", c.Peers[stopped].Admin)
+		require.NoError(t, err)
+		fmt.Fprintf(conn, "GET /store/%s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", key)
+		wg.Go(func() {
+			defer conn.Close()
+			text, _ := io.ReadAll(conn)
+			if strings.HasPrefix(string(text), "HTTP/1.1 200") {
+				assert.True(t, strings.HasSuffix(strings.TrimSpace(string(text)), "\n"+value), "%s", text)
+			} else {
+				assert.True(t, strings.HasPrefix(string(text), "HTTP/1.1 503"), "%s", text)
+			}
+		})
+	}
+	return wg
+}
+
 // TestStoppedLeader: a leader that stood still while another took its place answers
 // reads that waited for it with what that one wrote, or not at all.
 func TestStoppedLeader(t *testing.T) {
@@ -71,25 +95,8 @@
 		lead := c.Leader()
 		c.Put(lead, "note/stop", fmt.Sprint(2*round))
 		c.Stop(lead)
-		others := storeclient.New([]string{c.Peers[(lead+1)%3].Admin, c.Peers[(lead+2)%3].Admin})
 		value := fmt.Sprint(2*round + 1)
-		_, err := others.Put(t.Context(), "note/stop", json.RawMessage(value), nil)
-		require.NoError(t, err)
-		var wg sync.WaitGroup
-		for range 20 {
-			conn, err := net.Dial("tcp", c.Peers[lead].Admin)
-			require.NoError(t, err)
-			fmt.Fprint(conn, "GET /store/note/stop HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-			wg.Go(func() {
-				defer conn.Close()
-				text, _ := io.ReadAll(conn)
-				if strings.HasPrefix(string(text), "HTTP/1.1 200") {
-					assert.True(t, strings.HasSuffix(strings.TrimSpace(string(text)), "\n"+value), "%s", text)
-				} else {
-					assert.True(t, strings.HasPrefix(string(text), "HTTP/1.1 503"), "%s", text)
-				}
-			})
-		}
+		wg := c.overtaken(t, lead, "note/stop", value)
 		time.Sleep(50 * time.Millisecond) // they lie in its sockets
 		c.Continue(lead)
 		wg.Wait()
--- a/tests/wake_test.go
+++ b/tests/wake_test.go
@@ -1,20 +1,11 @@
 package tests
 
 import (
-	"encoding/json"
 	"fmt"
-	"io"
-	"net"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
-
 	"oxbowbridge/internal/rig"
-	"oxbowbridge/internal/storeclient"
 )
 
 // TestWakingLeader: a leader that stood still finds, on waking up, answers of its peers to
@@ -31,23 +22,8 @@
 		w.From(lead, (lead+1)%3, late) // one peer's answer comes only once the leader is awake
 		time.Sleep(120 * time.Millisecond)
 		w.Stop(lead)
-		others := storeclient.New([]string{w.Peers[(lead+1)%3].Admin, w.Peers[(lead+2)%3].Admin})
 		value := fmt.Sprint(2*round + 1)
-		_, err := others.Put(t.Context(), "note/wake", json.RawMessage(value), nil)
-		require.NoError(t, err)
-		var wg sync.WaitGroup
-		for range 20 {
-			conn, err := net.Dial("tcp", w.Peers[lead].Admin)
-			require.NoError(t, err)
-			fmt.Fprint(conn, "GET /store/note/wake HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-			wg.Go(func() {
-				defer conn.Close()
-				text, _ := io.ReadAll(conn)
-				if strings.HasPrefix(string(text), "HTTP/1.1 200") {
-					assert.True(t, strings.HasSuffix(strings.TrimSpace(string(text)), "\n"+value), "round %d: %s", round, text)
-				}
-			})
-		}
+		wg := w.overtaken(t, lead, "note/wake", value)
 		w.Continue(lead)
 		time.Sleep(time.Duration(5+5*round) * time.Millisecond)
 		w.From(lead, (lead+1)%3, slow)
