--- a/cmd/oxbowbridge/config.go
+++ b/cmd/oxbowbridge/config.go
@@ -11,6 +11,7 @@
 	"oxbowbridge/internal/core"
 	"oxbowbridge/internal/store"
 	"oxbowbridge/internal/wire"
+	"oxbowbridge/internal/workagent"
 )
 
 // config is the file that BALANCER_CONFIG names.
@@ -27,10 +28,11 @@
 		MemoryMB int64   `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
-	Settings wire.Settings `json:"settings"`
-	AJP      *ajpConfig    `json:"ajp"`   // absent on the platform
-	Store    *store.Config `json:"store"` // absent on the platform
-	stored   bool          // the settings in force are those of the store
+	Settings wire.Settings     `json:"settings"`
+	AJP      *ajpConfig        `json:"ajp"`   // absent on the platform
+	Store    *store.Config     `json:"store"` // absent on the platform
+	Work     *workagent.Config `json:"work"`  // absent on the platform
+	stored   bool              // the settings in force are those of the store
 }
 
 // ajpConfig sets up callers and upstreams that speak AJP13.
@@ -147,7 +149,16 @@
 			return fmt.Errorf("store.%w", err)
 		}
 	}
+	if c.Work != nil {
+		if err := c.Work.Check(); err != nil {
+			return fmt.Errorf("work.%w", err)
+		}
+	}
 	switch {
+	case c.Work != nil && c.Store == nil && len(c.Work.Nodes) == 0:
+		return fault("work.nodes", "%w, as this service has no store", errMissing)
+	case c.Work != nil && c.Limits.Cores == 0:
+		return fault("limits.cores", "needed with work")
 	case c.Engine != "" && len(c.AJP.Upstreams) > 0:
 		return fault("ajp.upstreams", "not together with engine")
 	case c.Store != nil && c.StopMS < 2000:
--- a/cmd/oxbowbridge/main.go
+++ b/cmd/oxbowbridge/main.go
@@ -51,7 +51,7 @@
 		Args: cobra.NoArgs, RunE: serveCommand, SilenceUsage: true, SilenceErrors: true}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &exitError{codeBadCall, err} })
 	root.AddCommand(&cobra.Command{Use: "serve", Short: "Run the service (the default)", Args: noArgs, RunE: serveCommand},
-		configCommand(), versionCommand(), tryCommand(), durableCommand(), storeCommand(), leaseCommand())
+		configCommand(), versionCommand(), tryCommand(), durableCommand(), storeCommand(), leaseCommand(), workCommand())
 	root.Args = noArgs
 	return root
 }
--- a/cmd/oxbowbridge/serve.go
+++ b/cmd/oxbowbridge/serve.go
@@ -63,21 +63,24 @@
 		return err
 	}
 	kept.say("open")
+	worker := openWorker(notice, cfg, kept, s, log)
 	go func() {
 		for {
 			select {
 			case <-hangup:
 				cfg = s.reload(cfg, env)
+				continue
 			case <-notice.Done():
-				kept.say("draining")
-				stop := time.Duration(cfg.StopMS)*time.Millisecond - kept.closing()
-				s.x.Post(exchange.Step(func() { s.core.Drain(stop) }))
-				return
+			case <-worker.leaves:
 			}
+			kept.say("draining")
+			stop := time.Duration(cfg.StopMS)*time.Millisecond - kept.closing()
+			s.x.Post(exchange.Step(func() { s.core.Drain(stop) }))
+			return
 		}
 	}()
 	s.core.Run()
-	return nil
+	return worker.out(notice)
 }
 
 // service is the program's parts once they are connected.
--- /dev/null
+++ b/cmd/oxbowbridge/work.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"oxbowbridge/internal/storeclient"
+	"oxbowbridge/internal/work"
+	"oxbowbridge/internal/workchart"
+)
+
+// workCLI is what the sub-commands of work share.
+type workCLI struct {
+	nodes    []string
+	asJSON   bool
+	reason   string // of ask
+	why      string // of pause
+	length   time.Duration
+	priority int
+	latest   time.Duration
+	chart    string
+	windows  []string
+	seed     uint64
+	every    time.Duration
+}
+
+func workCommand() *cobra.Command {
+	s := &workCLI{}
+	c := &cobra.Command{Use: "work", Short: "Take machines out for work, in an order that the services settle"}
+	c.PersistentFlags().StringSliceVar(&s.nodes, "nodes", []string{"127.0.0.1:7201"}, "admin addresses, any or all of them")
+	c.PersistentFlags().BoolVar(&s.asJSON, "json", false, "print JSON in place of tables")
+	add := func(use, short string, args cobra.PositionalArgs, run func(*cobra.Command, []string) error) *cobra.Command {
+		sub := &cobra.Command{Use: use, Short: short, RunE: run, Args: func(c *cobra.Command, a []string) error { return badCall(args(c, a)) }}
+		c.AddCommand(sub)
+		return sub
+	}
+	ask := add("ask MACHINE ...", "Ask for work on machines", cobra.MinimumNArgs(1), s.ask)
+	ask.Flags().StringVar(&s.reason, "reason", "", "what for")
+	ask.Flags().DurationVar(&s.length, "for", 10*time.Minute, "how long each is out at most")
+	ask.Flags().IntVar(&s.priority, "priority", 0, "higher goes first")
+	ask.Flags().DurationVar(&s.latest, "within", 0, "not to begin later than that; 0 is any time")
+	add("list", "Show the order: who is out, who waits, and why", cobra.NoArgs, s.list)
+	plan := add("plan", "Lay out the whole order ahead, within the limits", cobra.NoArgs, s.plan)
+	plan.Flags().StringVar(&s.chart, "chart", "", "also draw it, to a file that ends in .svg or .png")
+	plan.Flags().StringSliceVar(&s.windows, "window", nil, "only begin from FROM to TO from now, such as 1h-5h; may be given again")
+	plan.Flags().Uint64Var(&s.seed, "seed", 1, "of the search")
+	add("cancel MACHINE ...", "Take requests back; one that failed loses its place", cobra.MinimumNArgs(1), s.each((*storeclient.Client).CancelWork))
+	pause := add("pause", "Have nobody new go", cobra.NoArgs, s.pause(true))
+	pause.Flags().StringVar(&s.why, "reason", "by an operator", "why")
+	add("resume", "Have the order go on; what has failed by now is seen", cobra.NoArgs, s.pause(false))
+	add("back MACHINE ...", "Say for machines that they are back", cobra.MinimumNArgs(1), s.each(func(c *storeclient.Client, ctx context.Context, node string) error {
+		return c.SayWork(ctx, node, work.Report{Phase: work.Back})
+	}))
+	watch := add("watch", "Show the order again and again, until it is done or interrupted", cobra.NoArgs, s.watch)
+	watch.Flags().DurationVar(&s.every, "every", time.Second, "how often")
+	return c
+}
+
+func (s *workCLI) client() *storeclient.Client { return storeclient.New(s.nodes) }
+
+// each does something for all machines that are named, and says of each that could not be.
+func (s *workCLI) each(do func(*storeclient.Client, context.Context, string) error) func(*cobra.Command, []string) error {
+	return func(c *cobra.Command, nodes []string) (err error) {
+		client := s.client()
+		for _, n := range nodes {
+			if e := do(client, c.Context(), n); e != nil {
+				err = errors.Join(err, fmt.Errorf("%s: %w", n, e))
+			}
+		}
+		return err
+	}
+}
+
+func (s *workCLI) ask(c *cobra.Command, nodes []string) error {
+	j := work.Job{Reason: s.reason, ForMS: s.length.Milliseconds(), Priority: s.priority}
+	if s.latest > 0 {
+		j.LatestMS = time.Now().Add(s.latest).UnixMilli()
+	}
+	for _, n := range nodes {
+		j.Node = n
+		if err := j.Check(); err != nil {
+			return badCall(err)
+		}
+	}
+	return s.each(func(client *storeclient.Client, ctx context.Context, node string) error {
+		j.Node = node
+		_, err := client.AskWork(ctx, j)
+		return err
+	})(c, nodes)
+}
+
+func (s *workCLI) pause(paused bool) func(*cobra.Command, []string) error {
+	return func(c *cobra.Command, _ []string) error { return s.client().PauseWork(c.Context(), paused, s.why) }
+}
+
+func (s *workCLI) list(c *cobra.Command, _ []string) error {
+	st, err := s.client().Work(c.Context())
+	if err != nil {
+		return err
+	}
+	if s.asJSON {
+		return printJSON(c.OutOrStdout(), st)
+	}
+	return showWork(c.OutOrStdout(), st)
+}
+
+func showWork(out io.Writer, st work.Status) error {
+	fmt.Fprintf(out, "order settled by %s; most out at once %d, %d in a zone\n", cmp.Or(st.Order, "nobody yet"), st.Limits.Most, st.Limits.MostZone)
+	if st.Pause.Paused {
+		fmt.Fprintf(out, "PAUSED: %s ('work resume' has it go on)\n", st.Pause.Why)
+	}
+	if st.First != "" {
+		fmt.Fprintf(out, "next is %s: %s\n", st.First, cmp.Or(st.Why, "now"))
+	}
+	rows := [][]any{{"MACHINE", "STATE", "SINCE", "FOR", "PRIORITY", "REASON", "WHY"}}
+	for _, j := range st.Jobs {
+		since := time.Since(time.UnixMilli(j.SinceMS)).Round(time.Second)
+		rows = append(rows, []any{j.Node, j.Phase, since, time.Duration(j.ForMS) * time.Millisecond, j.Priority, j.Reason, j.Why + j.Waits})
+	}
+	return table(out, rows...)
+}
+
+func (s *workCLI) watch(c *cobra.Command, _ []string) error {
+	ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	out, client := c.OutOrStdout(), s.client()
+	clear := ""
+	if f, ok := out.(*os.File); ok {
+		if info, err := f.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
+			clear = "\x1b[H\x1b[2J"
+		}
+	}
+	for {
+		st, err := client.Work(ctx)
+		if ctx.Err() != nil {
+			return nil // interrupted
+		}
+		if err != nil {
+			fmt.Fprintln(c.ErrOrStderr(), "oxbowbridge:", err)
+		} else {
+			fmt.Fprint(out, clear)
+			if err := showWork(out, st); err != nil {
+				return err
+			}
+			if !slices.ContainsFunc(st.Jobs, func(r work.Row) bool { return r.Phase.Open() }) {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(s.every):
+		}
+	}
+}
+
+// plan lays out what is asked for, from the order as it is now.
+func (s *workCLI) plan(c *cobra.Command, _ []string) error {
+	windows, err := parseWindows(s.windows)
+	if err != nil {
+		return badCall(err)
+	}
+	if s.chart != "" && !strings.HasSuffix(s.chart, ".svg") && !strings.HasSuffix(s.chart, ".png") {
+		return badCall(errors.New("--chart: want a file that ends in .svg or .png"))
+	}
+	st, err := s.client().Work(c.Context())
+	if err != nil {
+		return err
+	}
+	q := work.QuestionFrom(st, time.Now().UnixMilli())
+	q.Windows, q.Seed = windows, s.seed
+	p, err := work.MakePlan(q)
+	if err != nil {
+		return err
+	}
+	if s.chart != "" {
+		if err := workchart.Draw(s.chart, p, q.Total); err != nil {
+			return err
+		}
+	}
+	if s.asJSON {
+		return printJSON(c.OutOrStdout(), p)
+	}
+	rows := [][]any{{"FROM", "TO", "MACHINE", "ZONE", "CORES"}}
+	for _, x := range p.Placed {
+		rows = append(rows, []any{x.From.Round(time.Second), x.To.Round(time.Second), x.Node, x.Zone, x.Capacity})
+	}
+	if err := table(c.OutOrStdout(), rows...); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.OutOrStdout(), "%v in all; no plan within the limits is shorter than %v\n", p.Length.Round(time.Second), p.Bound.Round(time.Second))
+	return err
+}
+
+func parseWindows(texts []string) (list []work.Window, err error) {
+	for _, t := range texts {
+		from, to, ok := strings.Cut(t, "-")
+		a, err1 := time.ParseDuration(from)
+		b, err2 := time.ParseDuration(to)
+		if err := errors.Join(err1, err2); err != nil || !ok || a < 0 || b <= a {
+			return nil, errors.Join(fmt.Errorf("--window: %q is not FROM-TO, such as 1h-5h", t), err)
+		}
+		list = append(list, work.Window{From: a, To: b})
+	}
+	return list, nil
+}
--- /dev/null
+++ b/cmd/oxbowbridge/worker.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"oxbowbridge/internal/exchange"
+	"oxbowbridge/internal/workagent"
+)
+
+const gaugeWait = 200 * time.Millisecond // for the core to say how busy it is
+
+// worker is the service's part in an order of work. Without its section it does nothing.
+type worker struct {
+	agent  *workagent.Agent
+	s      *service
+	kept   *keeper
+	leaves chan struct{} // closed when it is to leave
+	once   sync.Once
+	ended  chan struct{}
+	left   bool
+}
+
+func openWorker(ctx context.Context, cfg *config, kept *keeper, s *service, log *zap.Logger) *worker {
+	w := &worker{s: s, kept: kept, leaves: make(chan struct{}), ended: make(chan struct{})}
+	if cfg.Work == nil {
+		close(w.ended)
+		return w
+	}
+	own := ""
+	if kept.store != nil {
+		own = kept.store.AdminAddress()
+	}
+	w.agent = workagent.New(*cfg.Work, cfg.Name, cfg.Limits.Cores, own, w, log)
+	go func() {
+		defer close(w.ended)
+		w.left = w.agent.Run(ctx)
+	}()
+	return w
+}
+
+// Gauge asks the core.
+func (w *worker) Gauge() (busy float64, known, warm bool) {
+	said := make(chan func() (float64, bool, bool), 1)
+	w.s.x.Post(exchange.Step(func() {
+		b, k, i := w.s.core.Load()
+		said <- func() (float64, bool, bool) { return b, k, i }
+	}))
+	select {
+	case say := <-said:
+		return say()
+	case <-time.After(gaugeWait):
+		return 1, false, false
+	}
+}
+
+// Leave has the service drain, as on SIGTERM, and another node lead the store.
+func (w *worker) Leave() {
+	if w.kept.store != nil {
+		w.kept.store.StepDown()
+	}
+	w.once.Do(func() { close(w.leaves) })
+}
+
+// out ends the service's turn once it has drained. With a command, the program starts
+// again in the same process when that has ended well.
+func (w *worker) out(ctx context.Context) error {
+	if w.agent == nil {
+		return nil
+	}
+	select {
+	case <-w.leaves:
+	default:
+		<-w.ended // on SIGTERM it only ends
+		w.agent.Close()
+		return nil
+	}
+	<-w.ended
+	again, err := w.agent.Out()
+	w.agent.Close()
+	if err != nil || !again || ctx.Err() != nil {
+		return err
+	}
+	w.kept.close()
+	own, err := os.Executable()
+	if err == nil {
+		err = syscall.Exec(own, os.Args, os.Environ())
+	}
+	return fmt.Errorf("start again: %w", err)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,6 +25,7 @@
 	drainSweep = 20 * time.Millisecond  // the same while draining
 	gapMost    = 20 * time.Millisecond  // a turn this late is worth a line in the log
 	gaugesMost = time.Second            // gauges older than this say nothing of the present
+	gaugesOld  = 10 * time.Second       // and older than this, nothing of the load
 )
 
 // Front is the server side as the core sees it.
@@ -87,6 +88,8 @@
 	set     rules.Settings
 	control *rules.Controller
 	fresh   bool
+	readyAt time.Duration // since when the engine is there; 0 before
+	warmAt  time.Duration
 	byID    map[uint32]*request
 	byTrace map[string]*request
 	spent   map[string]struct{} // traces that ran and must not run twice
@@ -219,6 +222,13 @@
 
 func (c *Core) tell(e rules.Event) { c.events = append(c.events, e) }
 
+// Load tells what share of the cores is in use, if that is known, and whether the service
+// is warm. It belongs into a step of the exchange.
+func (c *Core) Load() (busy float64, known, warm bool) {
+	c.Runner.AskGauges() // for the next time
+	return c.gauges.CoreUse, c.gauged > 0 && c.Now()-c.gauged <= gaugesOld, c.readyAt > 0 && c.Now() >= c.warmAt
+}
+
 // note books one event of the exchange.
 func (c *Core) note(e exchange.Event) {
 	switch e := e.(type) {
@@ -232,6 +242,9 @@
 		c.gauges, c.gauged = c.Settings.Gauges(e), c.Now()
 	case exchange.Ready:
 		c.fresh = e.Cold
+		if c.readyAt, c.warmAt = c.Now(), c.Now(); e.Cold {
+			c.warmAt += max(0, c.set.ColdFor-e.Since)
+		}
 		c.Directory.Open()
 		c.tell(rules.Due{Gauges: c.gauges}) // a first event: the module starts
 	case exchange.Step:
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"oxbowbridge/internal/leaseclient"
 	"oxbowbridge/internal/store"
 	"oxbowbridge/internal/storeclient"
+	"oxbowbridge/internal/workorder"
 )
 
 // Names of the leases.
@@ -45,6 +46,7 @@
 	cancel context.CancelFunc
 	ended  sync.WaitGroup
 	keeper *leaseclient.Keeper
+	closed func()
 }
 
 // Start has a node take part in the tasks that it is set up for.
@@ -54,6 +56,11 @@
 	list := []leaseclient.Task{{Name: LeaseSessions, TTL: ttl, Do: func(ctx context.Context, h *leaseclient.Held) error {
 		return endSessions(ctx, s, h)
 	}}}
+	order := workorder.New(s, log)
+	t.closed = order.Close
+	list = append(list, leaseclient.Task{Name: workorder.LeaseOrder, TTL: ttl, Do: func(ctx context.Context, h *leaseclient.Held) error {
+		return order.Run(ctx, h.Fence())
+	}})
 	if s.HasRecord() {
 		list = append(list, leaseclient.Task{Name: LeaseMirror, TTL: ttl, Do: func(ctx context.Context, h *leaseclient.Held) error {
 			return s.Mirror(ctx, h.Fence())
@@ -86,6 +93,7 @@
 		t.cancel()
 		t.ended.Wait()
 		t.keeper.Close()
+		t.closed()
 	}()
 	select {
 	case <-done:
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -26,6 +26,8 @@
 // CloseTime is how long Close takes at most.
 const CloseTime = time.Second
 
+const stepDownTime = time.Second // for another node to lead
+
 const reopenEvery = time.Second // a disk that failed is tried again so often
 
 // What a node does, for Self.State.
@@ -184,6 +186,19 @@
 	return s.self.Name
 }
 
+// StepDown has another node lead, if this one does: it is about to leave.
+func (s *Store) StepDown() {
+	l := s.now.Load()
+	if l == nil || !l.leads() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, stepDownTime)
+	defer cancel()
+	if err := done(ctx, l.raft.LeadershipTransfer()); err != nil {
+		s.log.Warn("leadership not handed over", zap.Error(err))
+	}
+}
+
 // Leads tells whether this node takes itself for the leader.
 func (s *Store) Leads() bool {
 	l := s.now.Load()
--- a/internal/storeadmin/admin.go
+++ b/internal/storeadmin/admin.go
@@ -18,6 +18,7 @@
 	"oxbowbridge/internal/kv"
 	"oxbowbridge/internal/store"
 	"oxbowbridge/internal/storeapi"
+	"oxbowbridge/internal/workorder"
 )
 
 const (
@@ -28,7 +29,8 @@
 
 // admin serves GET /status, /store, /store/KEY, /watch, /backup, /members; PUT and DELETE
 // /store/KEY and /members/NAME; POST /txn, /session, /restore and /members/NAME; GET and
-// PUT /lease; GET, POST, PUT and DELETE /lease/NAME. Nodes
+// PUT /lease; GET, POST, PUT and DELETE /lease/NAME; GET and POST /work, DELETE and PUT
+// /work/NODE. Nodes
 // pass writes on to their leader by it, ask it how far the log is committed (GET /index),
 // ask each other what they are (GET /self), and ask for a place (POST /members).
 type admin struct {
@@ -40,6 +42,7 @@
 	forwards chan struct{} // one for each write that is passed on
 	waits    chan struct{} // one for each request for a lease
 
+	order     *workorder.Order
 	restoring sync.Mutex
 }
 
@@ -63,7 +66,8 @@
 func serve(s *store.Store) error {
 	a := &admin{store: s, client: &http.Client{Timeout: storeapi.ApplyTime + time.Second}, patient: &http.Client{Timeout: storeapi.RestoreTime},
 		watchers: make(chan struct{}, watchersMost), forwards: make(chan struct{}, forwardedMost),
-		waits: make(chan struct{}, leaseMost)}
+		waits: make(chan struct{}, leaseMost), order: workorder.New(s, s.Log().Named("work"))}
+	s.OnClose(a.order.Close)
 	ln, err := net.Listen("tcp", s.AdminAddress())
 	if err != nil {
 		return fmt.Errorf("admin address: %w", err)
@@ -88,6 +92,13 @@
 		"PUT /members/{name}":     a.changeMember,
 		"DELETE /members/{name}":  a.changeMember,
 		"POST /members/{name}":    a.changeMember,
+		"GET /work":               a.workStatus,
+		"POST /work":              a.askWork,
+		"POST /work/pause":        a.pauseWork(true),
+		"POST /work/resume":       a.pauseWork(false),
+		"DELETE /work/{node}":     a.cancelWork,
+		"PUT /work/{node}":        a.sayWork,
+		"PUT /work/{node}/beat":   a.beatWork,
 		"GET /lease":              a.leases,
 		"PUT /lease":              a.renew,
 		"GET /lease/{name...}":    a.lease,
--- /dev/null
+++ b/internal/work/times_test.go
@@ -0,0 +1,65 @@
+package work
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestOrderTimes: how long an order of 300 machines of different lengths takes as it is
+// carried out, beside its plan, what no plan can be shorter than, one at a time, and fixed
+// batches of the same limit. All in virtual time, of one seed.
+func TestOrderTimes(t *testing.T) {
+	s := newSim(t, 1, 300)
+	s.faults = 0
+	l := simLimits(300)
+	q := Question{Limits: l, Zones: map[string]float64{}, Seed: 1, Searches: 300}
+	var one, batches, longest time.Duration
+	for i, m := range s.machines {
+		q.Total += m.Capacity()
+		q.Zones[m.Zone] += m.Capacity()
+		s.jobs[m.Name].ForMS = 60_000 + s.rng.Int64N(540_000)
+		length := time.Duration(s.jobs[m.Name].ForMS) * time.Millisecond
+		q.Tasks = append(q.Tasks, Task{Node: m.Name, Zone: m.Zone, Capacity: m.Capacity(), Length: length})
+		one += length
+		if longest = max(longest, length); (i+1)%l.Most == 0 {
+			batches, longest = batches+longest, 0
+		}
+	}
+	p, err := MakePlan(q)
+	require.NoError(t, err)
+	require.True(t, s.finish(l))
+	took := time.Duration(s.now) * time.Millisecond
+	t.Logf("| as carried out (half to all of the asked time each) | %v |", took)
+	t.Logf("| plan (all of the asked time each) | %v |", p.Length.Round(time.Second))
+	t.Logf("| bound | %v |", p.Bound.Round(time.Second))
+	t.Logf("| batches of %d | %v |", l.Most, batches.Round(time.Second))
+	t.Logf("| one at a time | %v |", one.Round(time.Second))
+	assert.Less(t, p.Length, batches)
+	assert.Less(t, took, batches)
+}
+
+// BenchmarkDecide is one decision on machines of which a third is asked for, and what it
+// has to read.
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{300, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			v := View{Machines: fleetOf(n), Limits: simLimits(n), NowMS: 1}
+			for i, m := range v.Machines {
+				if i%3 == 0 {
+					v.Jobs = append(v.Jobs, Job{Node: m.Name, Reason: "kernel", ForMS: 60_000, Phase: Asked, Ticket: uint64(i), AskedMS: 1_800_000_000_000})
+				}
+			}
+			text, err := json.Marshal(v)
+			require.NoError(b, err)
+			for b.Loop() {
+				Decide(v)
+			}
+			b.ReportMetric(float64(len(text)), "bytes-read")
+		})
+	}
+}
--- /dev/null
+++ b/internal/workorder/workorder.go
@@ -0,0 +1,440 @@
+// Package workorder keeps an order of work on machines in the replicated store, and has it
+// go on: whoever holds the lease work/order decides by internal/work, from what is in the
+// store alone.
+package workorder
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"oxbowbridge/internal/kv"
+	"oxbowbridge/internal/lease"
+	"oxbowbridge/internal/store"
+	"oxbowbridge/internal/work"
+)
+
+// Keys of the store.
+const (
+	LeaseOrder = "work/order"    // the lease of who decides
+	LeaseNode  = "work/machine/" // and a name: that machine is about to leave
+	KeyLimits  = "config/work"   // what an operator sets of the limits
+	keyJob     = kv.Reserved + "work/job/"
+	keyPause   = kv.Reserved + "work/pause"
+	keyMachine = kv.StatePart + "work/" // and a name: what a machine says of itself
+)
+
+const (
+	decideEvery = 200 * time.Millisecond
+	listenEvery = 200 * time.Millisecond
+	awayAfter   = 5 // beats that a machine misses before it counts as away
+	stepsMost   = kv.Ops / 2
+)
+
+var (
+	// ErrBusy: the machine is further than what was asked allows.
+	ErrBusy = errors.New("the machine's work is further on")
+	// ErrNone: nothing is asked for that machine.
+	ErrNone = errors.New("no work is asked for on this machine")
+	// ErrRaced: somebody else changed it at the same time; look again.
+	ErrRaced = errors.New("it was changed at the same time")
+)
+
+// Order is one node's part in it.
+type Order struct {
+	store *store.Store
+	log   *zap.Logger
+
+	stop  context.CancelFunc
+	ended sync.WaitGroup
+
+	mu    sync.Mutex
+	heard map[string]heard
+}
+
+// heard is when this node noticed a machine's last beat, by its own monotonic clock: no
+// two machines' clocks are compared.
+type heard struct {
+	number uint64
+	at     time.Time
+	times  int // beats noticed: the first may be an old one
+}
+
+// New is one for a node. It listens to what machines say from now on, so that it knows how
+// old that is.
+func New(s *store.Store, log *zap.Logger) *Order {
+	ctx, stop := context.WithCancel(context.Background())
+	o := &Order{store: s, log: log, heard: map[string]heard{}, stop: stop}
+	o.ended.Go(func() { o.listen(ctx) })
+	return o
+}
+
+// Close has it listen no more.
+func (o *Order) Close() {
+	o.stop()
+	o.ended.Wait()
+}
+
+// listen notes beats as they come, while this node is up to date: what it reads of a log
+// that it catches up with was said long ago.
+func (o *Order) listen(ctx context.Context) {
+	tick := time.NewTicker(listenEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		all, _ := o.store.All()
+		if !slices.ContainsFunc(slices.Collect(maps.Keys(all)), func(key string) bool { return strings.HasPrefix(key, keyMachine) }) {
+			continue // nobody takes part: nothing is asked of the others
+		}
+		if _, err := o.store.Fresh(ctx, store.Freshness{Stale: time.Second}); err != nil {
+			continue
+		}
+		all, _ = o.store.All()
+		var beats []work.Beat
+		for key, e := range all {
+			var b work.Beat
+			if strings.HasPrefix(key, keyMachine) && json.Unmarshal(e.Value, &b) == nil {
+				beats = append(beats, b)
+			}
+		}
+		o.machines(beats, nil)
+	}
+}
+
+// read is all that the store has of the order, with the revisions of the jobs.
+type read struct {
+	view      work.View
+	revisions map[string]uint64
+	pause     uint64
+}
+
+func (o *Order) read(ctx context.Context) (r read, err error) {
+	if _, err := o.store.Fresh(ctx, store.Freshness{}); err != nil {
+		return r, err
+	}
+	r.revisions = map[string]uint64{}
+	r.view = work.View{NowMS: time.Now().UnixMilli(), Limits: work.DefaultLimits()}
+	all, _ := o.store.All()
+	var beats []work.Beat
+	for key, e := range all {
+		var err error
+		switch {
+		case key == KeyLimits:
+			l := work.DefaultLimits()
+			if err = json.Unmarshal(e.Value, &l); err == nil {
+				err = l.Check()
+			}
+			if err == nil {
+				r.view.Limits = l
+			} else { // nobody goes by limits that nobody meant
+				r.view.Pause = work.Pause{Paused: true, Why: fmt.Sprintf("%s: %v", KeyLimits, err)}
+			}
+			continue
+		case key == keyPause:
+			var p work.Pause
+			err = json.Unmarshal(e.Value, &p)
+			if r.pause = e.Index; !r.view.Pause.Paused || p.Paused {
+				p.Paused, p.Why = p.Paused || r.view.Pause.Paused, cmp.Or(p.Why, r.view.Pause.Why)
+				r.view.Pause = p
+			}
+		case strings.HasPrefix(key, keyJob):
+			var j work.Job
+			if err = json.Unmarshal(e.Value, &j); err == nil {
+				r.view.Jobs, r.revisions[j.Node] = append(r.view.Jobs, j), e.Index
+			}
+		case strings.HasPrefix(key, keyMachine):
+			var b work.Beat
+			if err = json.Unmarshal(e.Value, &b); err == nil {
+				beats = append(beats, b)
+			}
+		}
+		if err != nil {
+			return r, fmt.Errorf("%s: %w", key, err)
+		}
+	}
+	slices.SortFunc(r.view.Jobs, func(a, b work.Job) int { return strings.Compare(a.Node, b.Node) })
+	r.view.Machines = o.machines(beats, r.view.Jobs)
+	return r, nil
+}
+
+// machines are the beats with what this node knows of their age.
+func (o *Order) machines(beats []work.Beat, jobs []work.Job) (list []work.Machine) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	for _, b := range beats {
+		h, known := o.heard[b.Name]
+		if !known || h.number != b.Number {
+			h = heard{number: b.Number, at: now, times: h.times + 1}
+			o.heard[b.Name] = h
+		}
+		m := b.Machine
+		age := now.Sub(h.at)
+		if m.AgeMS = age.Milliseconds(); h.times < 2 {
+			m.AgeMS, m.State = -1, work.Away // it may have said this long ago
+		}
+		if age > awayAfter*time.Duration(b.EveryMS)*time.Millisecond {
+			m.State = work.Away
+		}
+		// What it said before it left is nothing that it says now.
+		if i := slices.IndexFunc(jobs, func(j work.Job) bool { return j.Node == m.Name }); i >= 0 && jobs[i].Phase == work.Back && b.Grant != jobs[i].Grant && m.State == work.In {
+			m.State = work.Cold
+		}
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b work.Machine) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Run decides under a lease until ctx ends.
+func (o *Order) Run(ctx context.Context, held lease.Held) error {
+	tick := time.NewTicker(decideEvery)
+	defer tick.Stop()
+	for {
+		if err := o.step(ctx, held); err != nil && ctx.Err() == nil {
+			if errors.Is(err, kv.ErrFenced) {
+				return err
+			}
+			o.log.Warn("order of work", zap.Error(err)) // asked again
+			time.Sleep(decideEvery)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+// idle tells whether nothing is asked for, as this node knows it.
+func (o *Order) idle() bool {
+	all, _ := o.store.All()
+	for key := range all {
+		if strings.HasPrefix(key, keyJob) {
+			return false
+		}
+	}
+	return true
+}
+
+func (o *Order) step(ctx context.Context, held lease.Held) error {
+	if o.idle() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	r, err := o.read(ctx)
+	if err != nil {
+		return err
+	}
+	d := work.Decide(r.view)
+	if len(d.Steps) == 0 && d.Pause == "" {
+		return nil
+	}
+	// All that was decided on is compared, and the lease's token too: a decider that stood
+	// still changes nothing.
+	q := kv.Request{Fence: []lease.Held{held}, If: []kv.Compare{{Key: keyPause, Revision: r.pause}}}
+	for _, s := range d.Steps[:min(len(d.Steps), stepsMost)] {
+		j := r.view.Jobs[slices.IndexFunc(r.view.Jobs, func(j work.Job) bool { return j.Node == s.Node })]
+		q.If = append(q.If, kv.Compare{Key: keyJob + s.Node, Revision: r.revisions[s.Node]})
+		j.Phase, j.Why, j.SinceMS = s.To, s.Why, r.view.NowMS
+		q.Then = append(q.Then, putJob(j))
+		o.log.Info("work", zap.String("machine", s.Node), zap.String("state", string(s.To)), zap.String("why", s.Why))
+	}
+	if d.Pause != "" {
+		q.Then = append(q.Then, put(keyPause, work.Pause{Paused: true, Why: d.Pause, Seen: r.view.Pause.Seen}))
+		o.log.Error("order of work is paused", zap.String("why", d.Pause))
+	}
+	return o.store.DoAnywhere(ctx, q)
+}
+
+// Owns tells whether a key is one that whoever has the order's lease may write, and the
+// request rests on that lease.
+func Owns(fence []lease.Held, key string) bool {
+	return strings.HasPrefix(key, kv.Reserved+"work/") && slices.ContainsFunc(fence, func(h lease.Held) bool { return h.Name == LeaseOrder })
+}
+
+func put(key string, v any) kv.Op {
+	text, _ := json.Marshal(v) // of this package's own types
+	return kv.Op{Do: "put", Key: key, Value: text}
+}
+
+func putJob(j work.Job) kv.Op { return put(keyJob+j.Node, j) }
+
+// Ask asks for work on a machine; only the leader can, as with all that follows.
+func (o *Order) Ask(ctx context.Context, j work.Job) (work.Job, error) {
+	j.Phase, j.Grant, j.Why = work.Asked, 0, ""
+	if err := j.Check(); err != nil {
+		return j, err
+	}
+	return j, o.change(ctx, j.Node, func(old *work.Job) (*work.Job, error) {
+		if old != nil && old.Phase.Open() {
+			return nil, fmt.Errorf("%w: %s", ErrBusy, old.Phase)
+		}
+		j.AskedMS = time.Now().UnixMilli()
+		j.SinceMS, j.Ticket = j.AskedMS, o.store.Progress()
+		return &j, nil
+	})
+}
+
+// Cancel takes a request back, unless the machine goes already. One that failed loses its
+// place.
+func (o *Order) Cancel(ctx context.Context, node string) error {
+	return o.change(ctx, node, func(old *work.Job) (*work.Job, error) {
+		switch {
+		case old == nil || !old.Phase.Open():
+			return nil, ErrNone
+		case old.Phase == work.Failed:
+			j := *old
+			j.Phase = work.GivenUp
+			return &j, nil
+		case old.Phase != work.Asked && old.Phase != work.Granted:
+			return nil, fmt.Errorf("%w: %s", ErrBusy, old.Phase)
+		}
+		return nil, nil
+	})
+}
+
+// Say notes it. A machine that confirms needs its lease, and the grant must still be there.
+func (o *Order) Say(ctx context.Context, node string, r work.Report) error {
+	return o.change(ctx, node, func(old *work.Job) (*work.Job, error) {
+		if old == nil {
+			return nil, ErrNone
+		}
+		j := *old
+		ok := false
+		switch r.Phase {
+		case work.Draining:
+			ok = old.Phase == work.Granted && r.Grant != 0
+			j.Grant = r.Grant
+		case work.Out:
+			ok = old.Phase == work.Draining && r.Grant == old.Grant
+		case work.Back: // also an operator says so
+			ok = old.Phase == work.Draining || old.Phase == work.Out || old.Phase == work.Failed
+		case work.Failed:
+			ok = (old.Phase == work.Draining || old.Phase == work.Out || old.Phase == work.Back) && r.Grant == old.Grant
+		}
+		if old.Phase == r.Phase && (r.Grant == 0 || r.Grant == old.Grant) {
+			return old, nil // said again, as the answer was lost
+		}
+		if !ok {
+			return nil, fmt.Errorf("%w: %s", ErrBusy, old.Phase)
+		}
+		j.Phase, j.Why = r.Phase, r.Why
+		return &j, nil
+	}, fenceOf(node, r)...)
+}
+
+func fenceOf(node string, r work.Report) []lease.Held {
+	if r.Phase != work.Draining {
+		return nil
+	}
+	return []lease.Held{{Name: LeaseNode + node, Token: r.Grant}}
+}
+
+// change turns a job into another one, or into none, if nobody else does at the same time.
+func (o *Order) change(ctx context.Context, node string, to func(*work.Job) (*work.Job, error), fence ...lease.Held) error {
+	if _, err := o.store.Fresh(ctx, store.Freshness{}); err != nil {
+		return err
+	}
+	key := keyJob + node
+	var old *work.Job
+	e, there := o.store.Entry(key)
+	if there {
+		old = &work.Job{}
+		if err := json.Unmarshal(e.Value, old); err != nil {
+			return fmt.Errorf("%s: %w", key, err)
+		}
+	}
+	next, err := to(old)
+	if err != nil || next == old && old != nil {
+		return err
+	}
+	q := kv.Request{Fence: fence, If: []kv.Compare{{Key: key, Revision: e.Index}}, Then: []kv.Op{{Do: "delete", Key: key}}}
+	if !there {
+		q.If[0].Revision = 0
+	}
+	if next != nil {
+		if old == nil || next.Phase != old.Phase {
+			next.SinceMS = time.Now().UnixMilli()
+		}
+		q.Then[0] = putJob(*next)
+	}
+	a, err := o.store.Do(q)
+	if err == nil && !a.Held {
+		err = ErrRaced
+	}
+	return err
+}
+
+// SetPause pauses the order, or has it go on; what has failed by then is seen.
+func (o *Order) SetPause(ctx context.Context, paused bool, why string) error {
+	r, err := o.read(ctx)
+	if err != nil {
+		return err
+	}
+	p := work.Pause{Paused: paused, Why: why}
+	for _, j := range r.view.Jobs {
+		if j.Phase == work.Failed || j.Phase == work.GivenUp {
+			p.Seen = append(p.Seen, j.Node)
+		}
+	}
+	if paused {
+		p.Seen = r.view.Pause.Seen
+	}
+	a, err := o.store.Do(kv.Request{If: []kv.Compare{{Key: keyPause, Revision: r.pause}}, Then: []kv.Op{put(keyPause, p)}})
+	if err == nil && !a.Held {
+		err = ErrRaced
+	}
+	return err
+}
+
+// Beat notes what a machine says of itself, and answers with its job, if there is one.
+func (o *Order) Beat(ctx context.Context, b work.Beat) (*work.Job, error) {
+	if err := (work.Job{Node: b.Name, ForMS: 1000}).Check(); err != nil {
+		return nil, err
+	}
+	if b.EveryMS < 50 || b.EveryMS > 600_000 || b.Cores < 0 || b.Speed < 0 {
+		return nil, fmt.Errorf("%w: every_ms: want 50 to 600000; cores, speed: below 0", work.ErrAsk)
+	}
+	if _, err := o.store.Do(kv.Request{Then: []kv.Op{put(keyMachine+b.Name, b)}}); err != nil {
+		return nil, err
+	}
+	e, ok := o.store.Entry(keyJob + b.Name)
+	if !ok {
+		return nil, nil
+	}
+	j := &work.Job{}
+	return j, json.Unmarshal(e.Value, j)
+}
+
+// Status is all of it.
+func (o *Order) Status(ctx context.Context) (s work.Status, err error) {
+	r, err := o.read(ctx)
+	if err != nil {
+		return s, err
+	}
+	held, _, err := o.store.Leases(ctx, LeaseOrder)
+	if err != nil {
+		return s, err
+	}
+	d := work.Decide(r.view)
+	s = work.Status{Order: held[LeaseOrder].Holder, Pause: r.view.Pause, Limits: r.view.Limits, First: d.First, Why: d.Waits[d.First], Machines: r.view.Machines, Jobs: []work.Row{}}
+	for _, j := range r.view.Jobs {
+		s.Jobs = append(s.Jobs, work.Row{Job: j, Waits: d.Waits[j.Node]})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/tests/work_test.go
@@ -0,0 +1,305 @@
+package tests
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oxbowbridge/internal/rig"
+	"oxbowbridge/internal/storeclient"
+	"oxbowbridge/internal/work"
+)
+
+// yard is services that are taken out for work: some with a node of the store, some without.
+type yard struct {
+	*cluster
+	all    []*service // by their machine's number
+	names  []string
+	engine []*engine
+	client *storeclient.Client
+	start  func(i int) // one without the store
+}
+
+// newYard has all of them take part; the limits let two go at once, one in a zone.
+func newYard(t *testing.T, stores, others int, command ...string) *yard {
+	c := newNodes(t, stores, stores)
+	c.Wire()
+	y := &yard{cluster: c, all: make([]*service, stores+others)}
+	section := func(i int) object {
+		o := object{"zone": fmt.Sprint("z", i%3), "every_ms": 200, "command": command, "command_ms": 20000}
+		if i >= stores {
+			var nodes []string
+			for _, p := range c.Peers {
+				nodes = append(nodes, p.Admin)
+			}
+			o["nodes"] = nodes
+		}
+		return o
+	}
+	for i := range stores + others {
+		y.names, y.engine = append(y.names, fmt.Sprint("s", i)), append(y.engine, newEngine(t))
+	}
+	c.Launch = func(i int, store map[string]any) rig.Process {
+		c.nodes[i] = startBuild(t, "", func(cfg object) {
+			cfg["name"], cfg["engine"], cfg["store"], cfg["work"] = y.names[i], y.engine[i].addr, store, section(i)
+		})
+		y.all[i] = c.nodes[i]
+		return c.nodes[i]
+	}
+	c.Begin()
+	y.start = func(i int) {
+		y.all[i] = startBuild(t, "", func(cfg object) {
+			cfg["name"], cfg["engine"], cfg["work"] = y.names[i], y.engine[i].addr, section(i)
+		})
+	}
+	for i := stores; i < stores+others; i++ {
+		y.start(i)
+	}
+	y.client = c.client()
+	y.limits(t, func(*work.Limits) {})
+	await(t, "all machines to be in", func() bool {
+		st, err := y.client.Work(t.Context())
+		in := 0
+		for _, m := range st.Machines {
+			if m.State == work.In && m.AgeMS >= 0 {
+				in++
+			}
+		}
+		return err == nil && in == len(y.all)
+	})
+	return y
+}
+
+// limits writes those of the yard, changed.
+func (y *yard) limits(t *testing.T, change func(*work.Limits)) {
+	l := work.DefaultLimits()
+	l.Most, l.MostZone, l.Share, l.ShareZone, l.Spare = 2, 1, 0.5, 1, 0
+	change(&l)
+	y.Put(0, "config/work", fmt.Sprintf(`{"most":%d,"most_zone":%d,"share":%g,"share_zone":%g,"spare":%g,"over_ms":%d,"warm_ms":%d,"failures":%d}`,
+		l.Most, l.MostZone, l.Share, l.ShareZone, l.Spare, l.OverMS, l.WarmMS, l.Failures))
+}
+
+func (y *yard) states(t *testing.T) map[string]work.Phase {
+	out := map[string]work.Phase{}
+	if st, err := y.client.Work(t.Context()); err == nil {
+		for _, j := range st.Jobs {
+			out[j.Node] = j.Phase
+		}
+	}
+	return out
+}
+
+// reach waits until machines have one of some states.
+func (y *yard) reach(t *testing.T, nodes []string, want ...work.Phase) {
+	t.Helper()
+	end := time.Now().Add(4 * patience) // an order takes its time
+	for time.Now().Before(end) {
+		have, n := y.states(t), 0
+		for _, node := range nodes {
+			for _, w := range want {
+				if have[node] == w {
+					n++
+				}
+			}
+		}
+		if n == len(nodes) {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	st, _ := y.client.Work(t.Context())
+	t.Fatalf("never happened: %v of %v: %+v", want, nodes, st)
+}
+
+// observer looks from outside how many services take no connection.
+type observer struct {
+	mu    sync.Mutex
+	most  int
+	zone  int
+	ended sync.WaitGroup
+}
+
+func (y *yard) observe(stop <-chan struct{}) *observer {
+	o := &observer{}
+	o.ended.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+			out, zones, zone := 0, map[int]int{}, 0
+			for i, s := range y.all {
+				conn, err := net.DialTimeout("tcp", s.fcgi, time.Second)
+				if err == nil {
+					conn.Close()
+					continue
+				}
+				out++
+				zones[i%3]++
+				zone = max(zone, zones[i%3])
+			}
+			o.mu.Lock()
+			o.most, o.zone = max(o.most, out), max(o.zone, zone)
+			o.mu.Unlock()
+		}
+	})
+	return o
+}
+
+// TestWorkOrder: seven services, five of them with the store, are all asked for at once by two
+// operators. Each goes out and comes back once, never more than two at a time nor two
+// of a zone, while the order's holder is stopped and cut off, the leader is lost to the others, and links are
+// slow. Each nom-submit runs at most once.
+func TestWorkOrder(t *testing.T) {
+	t.Parallel()
+	replay(t)
+	mark := filepath.Join(t.TempDir(), "went")
+	y := newYard(t, 5, 2, "sh", "-c", "echo $OXBOWBRIDGE_WORK_NODE >> "+mark+"; sleep 0.5")
+	stop := make(chan struct{})
+	o := y.observe(stop)
+	var traffic sync.WaitGroup
+	var mu sync.Mutex
+	served := 0
+	for i := range y.all {
+		traffic.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(15 * time.Millisecond):
+				}
+				cl, err := dialFCGI(y.all[i].fcgi)
+				if err != nil {
+					continue // it is out
+				}
+				trace := newTrace()
+				if a, err := cl.do("/call/nom-submit", fieldsOf(trace), []byte("ok")); err == nil && a.status == 200 {
+					assert.True(t, strings.HasSuffix(a.body, trace))
+					mu.Lock()
+					served++
+					mu.Unlock()
+				}
+				cl.Close()
+			}
+		})
+	}
+	var asks sync.WaitGroup
+	for _, half := range [][]string{y.names[:5], y.names[2:]} {
+		asks.Go(func() {
+			for _, n := range half {
+				cli(t, "", "work", "ask", n, "--for=30s", "--reason=kernel", "--nodes="+strings.Join(y.client.Nodes, ",")) // the other may have asked
+			}
+		})
+	}
+	asks.Wait()
+	holder := func() int {
+		st, err := y.client.Work(t.Context())
+		if err != nil || st.Order == "" {
+			return 0
+		}
+		return int(st.Order[1] - '0')
+	}
+	slow := rig.Mode{Delay: 10 * time.Millisecond}
+	plan := rig.NewSchedule(*seed, 5, time.Second,
+		rig.Fault{Name: "order's holder stopped", Do: func(i int) { y.Stop(i) }, Undo: func(i int) { y.Continue(i) }},
+		rig.Fault{Name: "order's holder cut off", Do: func(i int) { y.Around(i, rig.Mode{Cut: true}, rig.Mode{Cut: true}) }, Undo: func(int) { y.Heal() }},
+		rig.Fault{Name: "leader not heard", Leader: true, Do: func(i int) { y.Around(i, rig.Mode{Out: true}, rig.Mode{}) }, Undo: func(int) { y.Heal() }},
+		rig.Fault{Name: "links slow", Do: func(i int) { y.Around(i, slow, slow) }, Undo: func(int) { y.Heal() }})
+	for range 4 {
+		turn := plan.Next()
+		at := holder()
+		if turn.Fault.Leader {
+			at = y.Leader()
+		}
+		turn.Fault.Do(at)
+		time.Sleep(turn.For)
+		turn.Fault.Undo(at)
+		time.Sleep(turn.Before)
+	}
+	y.reach(t, y.names, work.Warm)
+	close(stop)
+	traffic.Wait()
+	o.ended.Wait()
+	assert.LessOrEqual(t, o.most, 2, "out at once")
+	assert.LessOrEqual(t, o.zone, 1, "out in a zone")
+	assert.Positive(t, o.most)
+	text, err := os.ReadFile(mark)
+	require.NoError(t, err)
+	went := map[string]int{}
+	for _, n := range strings.Fields(string(text)) {
+		went[n]++
+	}
+	for i, n := range y.names {
+		assert.Equal(t, 1, went[n], n)
+		for trace, runs := range y.engine[i].runs {
+			assert.Equal(t, 1, runs, "runs of %s", trace)
+		}
+	}
+	assert.Positive(t, served)
+}
+
+// TestWorkFails: a machine whose work fails, and one that never comes back, keep their
+// places and pause the order; an operator has it go on. A cancel and a pause hold.
+func TestWorkFails(t *testing.T) {
+	t.Parallel()
+	y := newYard(t, 3, 2, "sh", "-c", `test "$OXBOWBRIDGE_WORK_NODE" != s3 || { echo no such kernel; exit 3; }`)
+	y.limits(t, func(l *work.Limits) { l.Failures, l.Most, l.MostZone = 1, 1, 1 })
+	all := "--nodes=" + strings.Join(y.client.Nodes, ",")
+	run := func(args ...string) (string, string, int) {
+		return cli(t, "", append(append([]string{"work"}, args...), all)...)
+	}
+	_, errs, code := run("ask", "s3", "--for=5s", "--priority=1")
+	require.Zero(t, code, errs)
+	y.reach(t, []string{"s3"}, work.Failed)
+	_, errs, code = run("ask", "s4", "nobody", "--for=5s")
+	assert.Zero(t, code, errs)
+	await(t, "a pause", func() bool {
+		out, _, _ := run("list")
+		return strings.Contains(out, "PAUSED: 1 machines failed to return") && strings.Contains(out, "no such kernel")
+	})
+	time.Sleep(time.Second)
+	assert.Equal(t, work.Asked, y.states(t)["s4"])
+	_, errs, code = run("cancel", "nobody")
+	assert.Zero(t, code, errs)
+	_, errs, code = run("cancel", "nobody")
+	assert.Equal(t, 1, code)
+	assert.Contains(t, errs, "no work is asked for")
+	// s3 is started again by hand: it says that it is back.
+	<-y.all[3].gone
+	y.start(3)
+	y.reach(t, []string{"s3"}, work.Warm)
+	_, errs, code = run("resume")
+	assert.Zero(t, code, errs)
+	y.reach(t, []string{"s4"}, work.Warm)
+	// A voter of three would leave fewer than a quorum and one.
+	_, errs, code = run("ask", "s0", "--for=5s")
+	assert.Zero(t, code, errs)
+	await(t, "why it waits", func() bool { out, _, _ := run("list"); return strings.Contains(out, "voters would stay") })
+	out, errs, code := run("plan", "--chart="+filepath.Join(t.TempDir(), "plan.svg"))
+	assert.Zero(t, code, errs)
+	assert.Contains(t, out, "no plan within the limits is shorter")
+	out, _, code = run("list", "--json")
+	assert.Zero(t, code)
+	assert.Contains(t, out, `"first": "s0"`)
+	for _, bad := range [][]string{{"ask", "s0", "--for=1ms"}, {"ask", "a b"}, {"plan", "--chart=x.txt"}, {"plan", "--window=5h"}, {"ask"}} {
+		_, _, code = run(bad...)
+		assert.Equal(t, 2, code, bad)
+	}
+	code, text := y.sure(1, "POST", "/work", `{"node":"s1","reason":"kernel","for_ms":600000,"priority":0}`)
+	assert.Equal(t, 200, code, text)
+	code, text = y.sure(1, "POST", "/work", `{"node":"s1","reason":"kernel","for_ms":600000,"priority":0}`)
+	assert.Equal(t, 409, code, text)
+	code, text = y.sure(1, "PUT", "/work/s1", `{"state":"draining","grant":7}`)
+	assert.Equal(t, 409, code, "not granted: %s", text)
+	code, _ = y.sure(1, "DELETE", "/work/s1", "")
+	assert.Equal(t, 204, code)
+}
