--- a/internal/store/acks.go
+++ b/internal/store/acks.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -14,8 +17,14 @@
 // term. Raft takes any answer of a peer for a proof that it still follows, also one to what
 // was sent before somebody asked for the proof: a leader that stood still finds such ones
 // on waking up, while another leads already.
+//
+// It also lets nothing out that was put together for a term which this node has left: as a
+// follower it may have cut its log off and written it anew while a goroutine of the leader
+// that it was still read from it, and a peer that has not heard of the new term would
+// take the mixture for a log.
 type acks struct {
 	*raft.NetworkTransport
+	term atomic.Pointer[func() uint64] // this node's; nil before Raft runs
 	mu   sync.Mutex
 	last map[raft.ServerID]ack
 	more chan struct{} // closed at the next answer
@@ -33,6 +42,9 @@
 
 // AppendEntries is Raft's, and its heartbeats.
 func (a *acks) AppendEntries(id raft.ServerID, to raft.ServerAddress, q *raft.AppendEntriesRequest, p *raft.AppendEntriesResponse) error {
+	if err := a.present(q.Term); err != nil {
+		return err
+	}
 	sent := time.Now()
 	err := a.NetworkTransport.AppendEntries(id, to, q, p)
 	if err == nil && p.Term == q.Term {
@@ -41,6 +53,39 @@
 	return err
 }
 
+// AppendEntriesPipeline is Raft's.
+func (a *acks) AppendEntriesPipeline(id raft.ServerID, to raft.ServerAddress) (raft.AppendPipeline, error) {
+	p, err := a.NetworkTransport.AppendEntriesPipeline(id, to)
+	if err != nil {
+		return nil, err
+	}
+	return &termPipeline{p, a}, nil
+}
+
+// termPipeline is a pipeline that sends nothing of a term that is over.
+type termPipeline struct {
+	raft.AppendPipeline
+	acks *acks
+}
+
+// AppendEntries sends entries without waiting for an answer.
+func (t *termPipeline) AppendEntries(q *raft.AppendEntriesRequest, p *raft.AppendEntriesResponse) (raft.AppendFuture, error) {
+	if err := t.acks.present(q.Term); err != nil {
+		return nil, err
+	}
+	return t.AppendPipeline.AppendEntries(q, p)
+}
+
+var errTermOver = errors.New("the term is over")
+
+// present refuses what belongs to a term that this node has left.
+func (a *acks) present(term uint64) error {
+	if now := a.term.Load(); now != nil && (*now)() != term {
+		return fmt.Errorf("%w: %d", errTermOver, term)
+	}
+	return nil
+}
+
 func (a *acks) note(id raft.ServerID, k ack) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/store/acks_test.go
+++ b/internal/store/acks_test.go
@@ -32,3 +32,15 @@
 	}
 	assert.ErrorIs(t, ask(false), ErrNoLeader)
 }
+
+// TestTermOver: a node that has left a term sends nothing more of it, whichever way.
+func TestTermOver(t *testing.T) {
+	a := newAcks(nil)
+	term := func() uint64 { return 8 }
+	a.term.Store(&term)
+	q, p := &raft.AppendEntriesRequest{Term: 7}, &raft.AppendEntriesResponse{}
+	assert.ErrorIs(t, a.AppendEntries("b", "", q, p), errTermOver)
+	_, err := (&termPipeline{nil, a}).AppendEntries(q, p)
+	assert.ErrorIs(t, err, errTermOver)
+	assert.NoError(t, a.present(8))
+}
--- a/internal/store/life.go
+++ b/internal/store/life.go
@@ -203,6 +203,8 @@
 	if err, ok := <-made; err != nil || !ok {
 		return errors.Join(errors.New("start raft"), err, l.reason())
 	}
+	term := l.raft.CurrentTerm
+	transport.term.Store(&term)
 	s.now.Store(l)
 	ctx, cancel := context.WithCancel(s.ctx)
 	var beside sync.WaitGroup
