Tests of the moments in which connections, links and processes end

Each forces its order on real connections: bytes that nobody has read at the end of a connection, faults behind a request in hand, half a record when a drain closes what is idle, load through a restart, signals before the file is read and during the drain, a health check before the engine is there, an engine link that is open and silent, a cut at each byte, a reply cut short.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -14,14 +14,17 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
-	"golang.org/x/sys/unix"
 )
 
 const (
 	readBuffer = 16 << 10
 	writeMost  = 1 << 20     // unsent bytes of one connection, past which it is closed
 	dropMost   = 1 << 20     // bytes read and dropped after the end of a connection, past which it is closed
+	readsMost  = 16          // buffers read of one connection in a row: what a peer sent before its end is read
 	lingerMost = time.Second // that a peer has, after the end of a connection, to end its side too
+	// What crosses the end of a connection within 50 ms is sent again: for twice as long
+	// no bound on connections closes it over what may still come.
+	lingerLeast = 100 * time.Millisecond
 )
 
 // Handler gets what happens on one connection. Data and Closed are called from
@@ -136,20 +139,27 @@
 	most      int        // of them
 }
 
-// linger notes a connection that ends. Beyond the bound the oldest is closed: each
+// linger notes a connection that ends. Beyond the bound the oldest are closed: each
 // holds a descriptor.
 func (l *Loop) linger(c *Conn) {
+	now := time.Now()
 	l.mu.Lock()
-	c.until = time.Now().Add(lingerMost)
+	c.until = now.Add(lingerMost)
 	l.lingering = append(l.lingering, c)
-	var oldest *Conn
-	if len(l.lingering) > l.most {
-		oldest = l.lingering[0]
-		l.lingering = slices.Delete(l.lingering, 0, 1)
+	n := 0
+	for len(l.lingering)-n > l.most && !now.Before(l.lingering[n].until.Add(lingerLeast-lingerMost)) {
+		n++
 	}
+	l.leave(n)
+}
+
+// leave closes the oldest so many. It is called with the lock, and releases it.
+func (l *Loop) leave(n int) {
+	old := slices.Clone(l.lingering[:n])
+	l.lingering = slices.Delete(l.lingering, 0, n)
 	l.mu.Unlock()
-	if oldest != nil {
-		oldest.Abandon()
+	for _, c := range old {
+		c.Abandon()
 	}
 }
 
@@ -168,13 +178,8 @@
 	for n < len(l.lingering) && !now.Before(l.lingering[n].until) {
 		n++
 	}
-	late := slices.Clone(l.lingering[:n])
-	l.lingering = slices.Delete(l.lingering, 0, n)
-	left = len(l.lingering)
-	l.mu.Unlock()
-	for _, c := range late {
-		c.Abandon()
-	}
+	left = len(l.lingering) - n
+	l.leave(n)
 	return left
 }
 
@@ -188,7 +193,8 @@
 // New starts a loop, in which so many connections may be at their end at a time.
 func New(lingering int) (*Loop, error) {
 	logging.SetLevel(logging.LevelNone)
-	e := nbio.NewEngine(nbio.Config{Name: "loop", NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: writeMost})
+	e := nbio.NewEngine(nbio.Config{Name: "loop", NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: writeMost,
+		MaxConnReadTimesPerEventLoop: readsMost})
 	l := &Loop{engine: e, most: lingering}
 	e.OnOpen(func(*nbio.Conn) {})
 	e.OnData(func(nb *nbio.Conn, b []byte) {
@@ -242,24 +248,16 @@
 // Listener takes connections until it is closed.
 type Listener struct {
 	net.Listener
-	take  func(net.Conn)
-	done  chan struct{} // closed once nothing is taken any more
-	empty func()        // a test's hook: the queue was found empty
+	take func(net.Conn)
+	done chan struct{} // closed once nothing is taken any more
 }
 
 // Close takes what the system has accepted by now, and no more. Connections that were
-// left in the system's queue would be reset under the requests on them. None is added
-// meanwhile: the system drops what asks for one, and refuses it once this is closed.
+// left in the system's queue would be reset under the requests on them.
 func (l *Listener) Close() error {
 	if tcp, ok := l.Listener.(*net.TCPListener); ok {
 		if raw, err := tcp.SyscallConn(); err == nil {
-			raw.Control(func(fd uintptr) {
-				dropAll(int(fd)) // where the system has no filters, the gap stays as short as it can be
-				takeQueued(int(fd), l.take)
-				if l.empty != nil {
-					l.empty()
-				}
-			})
+			raw.Control(func(fd uintptr) { takeQueued(int(fd), l.take) })
 		}
 	}
 	err := l.Listener.Close()
@@ -267,12 +265,6 @@
 	return err
 }
 
-// dropAll has the system drop all packets that come for a listener.
-func dropAll(listener int) {
-	none := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K} // keeps no byte of any packet
-	unix.SetsockoptSockFprog(listener, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &none})
-}
-
 func takeQueued(listener int, take func(net.Conn)) {
 	for {
 		fd, _, err := syscall.Accept4(listener, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -1,8 +1,14 @@
 package socket
 
 import (
+	"errors"
+	"io"
 	"net"
+	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -33,3 +39,169 @@
 		c.Close()
 	}
 }
+
+// TestCloseWaitsForTheAccepted: a connection that was accepted while the listener
+// closes is handed over before Close returns, and counts as open from then on.
+func TestCloseWaitsForTheAccepted(t *testing.T) {
+	loop, err := New(4)
+	require.NoError(t, err)
+	defer loop.Stop()
+	taking, goOn := make(chan struct{}), make(chan struct{})
+	handed := make(chan struct{}, 1)
+	var later atomic.Bool
+	ln, err := loop.Listen("127.0.0.1:0", func(*Conn) Handler {
+		if !later.Swap(true) {
+			close(taking)
+			<-goOn
+			handed <- struct{}{}
+		}
+		return &peer{}
+	}, func(err error) { t.Error(err) })
+	require.NoError(t, err)
+	c, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	<-taking
+	closed := make(chan bool, 1)
+	go func() {
+		ln.Close()
+		closed <- len(handed) == 1
+	}()
+	require.Eventually(t, func() bool { // the listener is closed, the connection still on its way
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	}, 10*time.Second, time.Millisecond)
+	close(goOn)
+	require.True(t, <-closed)
+}
+
+// peer is a handler that a test steers: it passes on what it is told, and waits in Data
+// until it may go on.
+type peer struct {
+	conn   *Conn
+	data   chan string
+	goOn   chan struct{}
+	closed chan error
+}
+
+func (p *peer) Data(b []byte) {
+	if p.data != nil {
+		p.data <- string(b)
+		<-p.goOn
+	}
+}
+
+func (p *peer) Closed(err error) {
+	if p.closed != nil {
+		p.closed <- err
+	}
+}
+
+// pair is a connection of a loop, and its other side.
+func pair(t *testing.T, lingering int) (*Loop, func() (*peer, *net.TCPConn)) {
+	loop, err := New(lingering)
+	require.NoError(t, err)
+	t.Cleanup(loop.Stop)
+	made := make(chan *peer, 1)
+	ln, err := loop.Listen("127.0.0.1:0", func(c *Conn) Handler {
+		p := &peer{conn: c, data: make(chan string, 1), goOn: make(chan struct{}), closed: make(chan error, 1)}
+		made <- p
+		return p
+	}, func(err error) { t.Error(err) })
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	return loop, func() (*peer, *net.TCPConn) {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		require.NoError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
+		return <-made, c.(*net.TCPConn)
+	}
+}
+
+// TestEndOverUnreadBytes: a connection ends while bytes that nobody has read wait on it.
+// All that was written arrives, no reset takes it along, and nothing that came is handled.
+func TestEndOverUnreadBytes(t *testing.T) {
+	loop, connect := pair(t, 4)
+	p, c := connect()
+	_, err := c.Write([]byte("first"))
+	require.NoError(t, err)
+	require.Equal(t, "first", <-p.data)
+	_, err = c.Write([]byte("in the moment of the end")) // the loop stands in Data: not read
+	require.NoError(t, err)
+	answer := strings.Repeat("x", 700<<10) // more than the system takes at once
+	p.conn.Write([]byte(answer))
+	p.conn.End()
+	p.conn.Write([]byte("after the end"))
+	close(p.goOn)
+	got, err := io.ReadAll(c)
+	require.NoError(t, err, "reset")
+	require.Equal(t, len(answer), len(got))
+	_, err = c.Write([]byte("and after it"))
+	require.NoError(t, err)
+	require.Equal(t, 1, loop.Sweep(time.Now()), "still there for its peer")
+	require.NoError(t, c.CloseWrite())
+	require.NoError(t, drop(<-p.closed))
+	require.Empty(t, p.data, "nothing is handled after the end")
+	_, err = c.Read(make([]byte, 1))
+	require.Equal(t, io.EOF, err, "no reset in the end either")
+	require.Zero(t, loop.Sweep(time.Now()))
+}
+
+// drop is an error that is not the peer's end.
+func drop(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+// TestEndIsBounded: peers that never end their side, or send without end, cost no more
+// than the bounds on time, bytes and connections say.
+func TestEndIsBounded(t *testing.T) {
+	loop, connect := pair(t, 2)
+	p, _ := connect()
+	p.conn.End()
+	p.conn.End() // once is enough
+	require.Equal(t, 1, loop.Sweep(time.Now()))
+	require.Zero(t, loop.Sweep(time.Now().Add(lingerMost)), "its time is over")
+	<-p.closed
+
+	p, c := connect()
+	p.conn.End()
+	go func() {
+		for b := make([]byte, 64<<10); ; {
+			if _, err := c.Write(b); err != nil {
+				return
+			}
+		}
+	}()
+	<-p.closed
+	require.Empty(t, p.data)
+
+	var peers []*peer
+	for range 3 {
+		p, _ := connect()
+		p.conn.End()
+		peers = append(peers, p)
+	}
+	require.Equal(t, 3, loop.Sweep(time.Now()), "what crosses an end has its time, whatever the bound")
+	require.Eventually(t, func() bool { // the bound counts for those that have had it
+		p, c := connect()
+		p.conn.End()
+		c.Close()
+		return len(peers[0].closed) == 1
+	}, 10*time.Second, time.Millisecond)
+}
+
+// TestNoDelay: small writes leave at once, on connections of either origin.
+func TestNoDelay(t *testing.T) {
+	_, connect := pair(t, 2)
+	p, _ := connect()
+	on, err := syscall.GetsockoptInt(p.conn.nb.Hash(), syscall.IPPROTO_TCP, syscall.TCP_NODELAY)
+	require.NoError(t, err)
+	require.NotZero(t, on)
+}
--- /dev/null
+++ b/tests/endings_test.go
@@ -0,0 +1,340 @@
+package tests
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// atItsEnd reads until the service ends the connection, which must not be a reset.
+func atItsEnd(t *testing.T, c net.Conn, r io.Reader) {
+	t.Helper()
+	rest, err := io.ReadAll(r)
+	require.NoError(t, err, "reset, or still open")
+	require.Empty(t, rest, "more than was owed")
+}
+
+// deaf waits until the service takes no more connections.
+func (s *service) deaf() {
+	await(s.t, "the listeners to close", func() bool {
+		for _, addr := range []string{s.fcgi, s.ajp} {
+			if c, err := net.Dial("tcp", addr); err == nil {
+				c.Close()
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestFaultLeavesAnswers: what a connection is ended for takes no answer along that was
+// owed on it before: garbage, half a message that stays half, a request without
+// KEEP_CONN, and faults by the dozen.
+func TestFaultLeavesAnswers(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	half := fcgiRequest(9, "/call/nom-submit", fieldsOf(newTrace()), []byte("ok"))
+	single := fcgiRequest(9, "/call/nom-submit", fieldsOf(newTrace()), []byte("ok"))
+	single[10] = 0 // its flags: the connection is to be closed behind it
+	var faults []byte
+	for id := range uint16(17) {
+		faults = append(faults, fcgiRequest(20+id, "/call/other", fieldsOf(newTrace()), nil)...)
+	}
+	for what, tt := range map[string]struct {
+		then    []byte
+		answers int // that come before the one that is held
+	}{
+		"garbage":        {[]byte("GET / HTTP/1.1\r\n\r\n"), 0},
+		"half a record":  {half[:5], 0},
+		"half a request": {half[:len(half)-11], 0},
+		"no KEEP_CONN":   {single, 1},
+		"faults":         {faults, 17},
+	} {
+		t.Run(what, func(t *testing.T) {
+			trace := newTrace()
+			held, given := w.engine.held(), strings.Count(w.log(), "nothing came")
+			c, err := dialFCGI(w.fcgi)
+			require.NoError(t, err)
+			defer c.Close()
+			_, err = c.Write(append(fcgiRequest(1, "/call/nom-submit", fieldsOf(trace), []byte("hold")), tt.then...))
+			require.NoError(t, err)
+			await(t, "the run", func() bool { return w.engine.held() == held+1 })
+			for range tt.answers {
+				id, _, _, err := c.read()
+				require.NoError(t, err)
+				require.NotEqual(t, uint16(1), id)
+			}
+			if strings.HasPrefix(what, "half") {
+				await(t, "the half to be given up", func() bool { return strings.Count(w.log(), "nothing came") > given })
+			}
+			refused := newTrace() // on a connection that is about to end nothing begins
+			_, err = c.Write(fcgiRequest(5, "/call/nom-submit", fieldsOf(refused), []byte("ok")))
+			require.NoError(t, err)
+			if what != "garbage" {
+				await(t, "what follows to be read", func() bool { return w.status("nom-submit", "ok") == 200 })
+			}
+			w.engine.release()
+			id, a, _, err := c.read()
+			require.NoError(t, err, "the answer that was owed")
+			assert.Equal(t, uint16(1), id)
+			assert.Equal(t, "result of "+trace, a.body)
+			atItsEnd(t, c, c.r)
+			assert.Zero(t, w.engine.heardOf("RUN "+refused))
+		})
+	}
+	trace := newTrace()
+	c, err := dialAJP(w.ajp)
+	require.NoError(t, err)
+	defer c.Close()
+	held := w.engine.held()
+	_, err = c.Write(append(append(ajpForward("/call/nom-submit", "s3", fieldsOf(trace), 4), ajpChunk([]byte("hold"))...), "garbage"...))
+	require.NoError(t, err)
+	await(t, "the run", func() bool { return w.engine.held() == held+1 })
+	w.engine.release()
+	a, err := c.read(nil)
+	require.NoError(t, err)
+	assert.Equal(t, "result of "+trace, a.body)
+	atItsEnd(t, c, c.r)
+}
+
+// TestDrainHearsTheHalf: of a request that was half written when the service began to
+// close what is idle, the rest is read, and the answer promises that nothing ran. One
+// that crosses the end of an idle connection meets no reset, and never runs.
+func TestDrainHearsTheHalf(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, func(cfg object) {
+		cfg["settings"].(object)["safety"].(object)["drain_grace_ns"] = 200e6
+	})
+	trace := newTrace()
+	fields := fieldsOf(trace)
+	fields["Accepted-At-Ms"] = strconv.FormatInt(time.Now().Add(30*time.Second).UnixMilli(), 10) // counts as the time of reading
+	request := fcgiRequest(1, "/call/nom-submit", fields, []byte("ok"))
+	half, err := dialFCGI(w.fcgi)
+	require.NoError(t, err)
+	defer half.Close()
+	half.do("/ping", nil, nil)
+	_, err = half.Write(request[:5]) // not even its first record is whole
+	require.NoError(t, err)
+	idle, err := dialFCGI(w.fcgi)
+	require.NoError(t, err)
+	defer idle.Close()
+	_, err = idle.do("/ping", nil, nil)
+	require.NoError(t, err)
+	require.NoError(t, w.Signal(syscall.SIGTERM))
+	atItsEnd(t, idle, idle.r) // it rested until the service ended it
+	crossed := newTrace()
+	_, err = idle.Write(fcgiRequest(1, "/call/nom-submit", fieldsOf(crossed), []byte("ok")))
+	require.NoError(t, err)
+	w.deaf()
+	_, err = half.Write(request[5:])
+	require.NoError(t, err)
+	_, a, _, err := half.read()
+	require.NoError(t, err)
+	assert.Equal(t, 503, a.status)
+	atItsEnd(t, half, half.r)
+	_, err = idle.Read(make([]byte, 1))
+	assert.Equal(t, io.EOF, err, "a reset")
+	w.ended() // though neither peer has ended its side
+	assert.Zero(t, w.engine.heardOf("RUN "+crossed))
+	assert.Zero(t, w.engine.heardOf("RUN "+trace))
+}
+
+// TestCutAtEachByte: a request that is cut at any byte, by its caller's end or by the
+// service's, is none: nothing runs, and the service ends in order and in time.
+func TestCutAtEachByte(t *testing.T) {
+	t.Parallel()
+	for _, callerEnds := range []bool{true, false} {
+		w := newWorld(t, func(cfg object) {
+			cfg["limits"].(object)["sockets"] = 4096
+			cfg["settings"].(object)["safety"].(object)["drain_grace_ns"] = 100e6
+		})
+		runs := w.engine.heardOf("RUN")
+		request := fcgiRequest(1, "/call/nom-submit", fieldsOf(newTrace()), []byte("ok"))
+		forward := append(ajpForward("/call/nom-submit", "s3", fieldsOf(newTrace()), 2), ajpChunk([]byte("ok"))...)
+		for addr, whole := range map[string][]byte{w.fcgi: request, w.ajp: forward} {
+			for n := range whole {
+				c, err := net.Dial("tcp", addr)
+				require.NoError(t, err)
+				defer c.Close()
+				_, err = c.Write(whole[:n])
+				require.NoError(t, err)
+				if callerEnds {
+					c.Close()
+				}
+			}
+		}
+		assert.Equal(t, 200, w.status("nom-submit", "ok"))
+		w.drain()
+		assert.Equal(t, runs+1, w.engine.heardOf("RUN"))
+	}
+}
+
+// TestRestartsUnderLoad: callers that send without a pause, on connections that they keep
+// and ever new ones, each get a whole answer or the end of the connection, and never a
+// reset, while the service drains; nothing that they did not get an answer to has run.
+func TestRestartsUnderLoad(t *testing.T) {
+	t.Parallel()
+	for range 3 {
+		w := newWorld(t, func(cfg object) {
+			cfg["settings"].(object)["safety"].(object)["drain_grace_ns"] = 100e6
+		})
+		type outcome struct {
+			trace string
+			err   error
+		}
+		lost := make(chan outcome, 100)
+		done := make(chan struct{})
+		for range 8 {
+			go func() {
+				defer func() { done <- struct{}{} }()
+				for {
+					c, err := dialFCGI(w.fcgi)
+					if err != nil {
+						return // refused: nothing ran
+					}
+					for range 50 {
+						trace := newTrace()
+						if _, err = c.do("/call/nom-submit", fieldsOf(trace), []byte("ok")); err != nil {
+							lost <- outcome{trace, err}
+							break
+						}
+					}
+					c.Close()
+				}
+			}()
+		}
+		await(t, "load", func() bool { return w.engine.heardOf("RUN") > 50 })
+		require.NoError(t, w.Signal(syscall.SIGTERM))
+		for range 8 {
+			<-done
+		}
+		w.ended()
+		close(lost)
+		for l := range lost {
+			assert.ErrorIs(t, l.err, io.EOF, l.trace)
+			assert.Zero(t, w.engine.heardOf("RUN "+l.trace), "ran, and its caller never heard")
+		}
+	}
+}
+
+// TestSignalsAtAnyTime: a notice before the file is read, many at once, and a SIGHUP
+// during the drain, whose calls go to the new address.
+func TestSignalsAtAnyTime(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	path := filepath.Join(t.TempDir(), "fifo")
+	require.NoError(t, syscall.Mkfifo(path, 0o600))
+	early := exec.Command(program)
+	early.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_LISTEN="+freePort(t))
+	require.NoError(t, early.Start())
+	defer early.Process.Kill()
+	file, err := os.OpenFile(path, os.O_WRONLY, 0) // opens once the program reads
+	require.NoError(t, err)
+	require.NoError(t, early.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, early.Process.Signal(syscall.SIGHUP))
+	cfg := object{}
+	for k, v := range w.cfg {
+		cfg[k] = v
+	}
+	delete(cfg, "ajp")
+	cfg["engine"] = newEngine(t).addr
+	require.NoError(t, json.NewEncoder(file).Encode(cfg))
+	require.NoError(t, file.Close())
+	assert.NoError(t, early.Wait(), "told to leave before it had read its file")
+
+	old, trace := w.records, newTrace()
+	got := w.later("nom-submit", trace, "hold")
+	await(t, "a run", func() bool { return w.engine.held() == 1 })
+	require.NoError(t, w.Signal(syscall.SIGTERM))
+	await(t, "the notice", func() bool { return strings.Contains(w.log(), `"msg":"drain"`) })
+	w.records = newRecords(t)
+	w.reload(func(cfg object) { cfg["records"] = w.records.addr })
+	w.engine.mu.Lock()
+	w.engine.notice("NEED %d "+trace+" ", "late call")
+	w.engine.mu.Unlock()
+	assert.Equal(t, "reply:late call", (<-got).body)
+	assert.Equal(t, []int{0, 1}, []int{old.heardOf("OP"), w.records.heardOf("OP")})
+	for over := false; !over; {
+		for _, sig := range []os.Signal{syscall.SIGTERM, syscall.SIGHUP} {
+			err := w.Signal(sig)
+			over = over || errors.Is(err, os.ErrProcessDone)
+			require.True(t, err == nil || over, err)
+		}
+	}
+	w.ended()
+}
+
+// TestReadyOnceItServes: health checks are bad until the engine is there, whatever comes.
+func TestReadyOnceItServes(t *testing.T) {
+	t.Parallel()
+	e := newEngine(t)
+	e.deaf = true
+	s := start(t, func(cfg object) { cfg["engine"], cfg["records"] = e.addr, newRecords(t).addr })
+	w := &world{service: s, engine: e}
+	await(t, "ATTACH", func() bool { return e.heardOf("ATTACH") == 1 })
+	got := w.later("nom-submit", newTrace(), "ok") // has the module decide
+	await(t, "a connection to be read", func() bool { return w.ping() == 503 })
+	for range 20 {
+		require.Equal(t, 503, w.ping())
+	}
+	e.mu.Lock()
+	e.deaf = false
+	e.mu.Unlock()
+	e.command([]string{"ATTACH", "0"}, nil)
+	assert.Equal(t, 200, (<-got).status)
+	assert.Equal(t, 200, w.ping())
+}
+
+// ping is the status of a health check.
+func (w *world) ping() int {
+	a, err := w.fcgiDo("/ping", nil, "")
+	require.NoError(w.t, err)
+	return a.status
+}
+
+// TestEngineSilent: an engine link that stays open and says nothing counts as lost after
+// a while, and what was sent on it in vain goes out on the next one.
+func TestEngineSilent(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	w.engine.mu.Lock()
+	w.engine.deaf = true
+	w.engine.mu.Unlock()
+	trace := newTrace()
+	got := w.later("nom-submit", trace, "ok")
+	await(t, "a RUN in vain", func() bool { return w.engine.heardOf("RUN "+trace) == 1 })
+	await(t, "another link", func() bool { return w.engine.heardOf("ATTACH") == 2 })
+	w.engine.mu.Lock()
+	w.engine.deaf = false
+	w.engine.mu.Unlock()
+	w.engine.command([]string{"ATTACH", "0"}, nil)
+	assert.Equal(t, "result of "+trace, (<-got).body)
+	assert.Equal(t, 1, w.engine.runs[trace])
+}
+
+// TestReplyCutShort: a reply of the records service that ends in its middle proves
+// nothing: the call is made again only where that is safe.
+func TestReplyCutShort(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	for class, want := range map[string]struct{ status, calls int }{"nom-submit": {500, 1}, "balance-view": {200, 2}} {
+		for _, cut := range []string{"%s DONE 40\r\nhalf of it", "%s WA", "%s WAIT\r", "%s DONE 4\r\nfour", "%s"} {
+			ops := w.records.heardOf("OP")
+			w.records.setOnce("cut:" + cut)
+			assert.Equal(t, want.status, w.status(class, "call"), "%s %q", class, cut)
+			assert.Equal(t, ops+want.calls, w.records.heardOf("OP"), "%s %q", class, cut)
+		}
+	}
+}
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -435,10 +435,14 @@
 				c.Close()
 			case "silence":
 			default:
+				reply, cut := strings.CutPrefix(reply, "cut:") // the connection ends behind it
 				if strings.Contains(reply, "%") {
 					reply = fmt.Sprintf(reply, w[1])
 				}
 				io.WriteString(c, reply)
+				if cut {
+					c.Close()
+				}
 			}
 		})
 	})
