Tests of replay keys, of settings that other customers have, and of pauses

Replay keys: one run from whichever try, over lost callers, failed runs, a reload and a broken link, in either protocol; refused unrun; window; full table; drain; a race.

--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -144,7 +145,8 @@
 	var err error
 	info, safe := &w.Info, &w.Safety
 	s := rules.Settings{
-		Tick: w.Tick, Depth: w.Tier, Cores: info.Cores, Servers: w.Servers, Callers: info.Callers,
+		Tick: w.Tick, Depth: w.Tier, Cores: info.Cores, Servers: cmp.Or(w.Servers, 1), // the list may not hold itself yet
+		Callers: info.Callers,
 		PerWork: word(counts, "counted_by", w.CountedBy, &err), OverShareWorth: w.OverShareWorth,
 		Fresh: info.Fresh, ColdShare: safe.ColdShare, ColdFor: safe.Cold,
 		CrowdFactor: safe.FallMultiple, CrowdOver: safe.Fall,
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -332,6 +332,8 @@
 		switch string(body) {
 		case "ok":
 			e.notice("DONE %d "+w[1]+" OK 5 ", "result of "+w[1])
+		case "big":
+			e.notice("DONE %d "+w[1]+" OK 5 ", strings.Repeat("x", 4<<10))
 		case "error":
 			e.notice("DONE %d "+w[1]+" ERROR 5 ", "")
 		case "call":
--- /dev/null
+++ b/tests/replay_test.go
@@ -0,0 +1,289 @@
+package tests
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// keyed has nom-update come again within its window.
+func keyed(window, deadline time.Duration) func(object) {
+	return func(cfg object) {
+		k := cfg["settings"].(object)["classes"].([]object)[2]
+		k["effect"], k["window_ns"], k["deadline_ns"], k["aim_ns"] = "deduplicated", int64(window), int64(deadline), int64(deadline)
+		cfg["settings"].(object)["family_info"].(object)["kb_per_key"] = 2
+	}
+}
+
+// try sends a try of the request that the key names, on a new connection.
+func (w *world) try(dial func(*service, int) (client, error), key, body string) (trace string, got <-chan answer, c client) {
+	trace = newTrace()
+	fields := fieldsOf(trace)
+	fields["Replay-Key"] = key
+	c, err := dial(w.service, 0)
+	require.NoError(w.t, err)
+	w.t.Cleanup(func() { c.Close() })
+	out := make(chan answer, 1)
+	go func() {
+		a, _ := c.do("/call/nom-update", fields, []byte(body))
+		out <- a
+	}()
+	return trace, out, c
+}
+
+// TestReplayKey: a keyed request runs once, from whichever try, and its other tries get
+// that result: while it is held back or runs, after it was answered, after its caller was
+// lost, after it failed, over a link that broke and a reload, and in either protocol.
+func TestReplayKey(t *testing.T) {
+	t.Parallel()
+	for name, dial := range protocols {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, keyed(20*time.Second, 12*time.Second))
+			key := func(n int) string { return fmt.Sprintf("%s-%d", name, n) }
+			first, got, _ := w.try(dial, key(1), "hold")
+			await(t, "the run", func() bool { return w.engine.held() == 1 })
+			_, second, _ := w.try(dial, key(1), "hold") // while it runs
+			lost, _, c := w.try(dial, key(2), "hold")
+			await(t, "another run", func() bool { return w.engine.held() == 2 })
+			c.Close() // its caller is gone
+			w.reload(func(cfg object) { cfg["engine"] = w.engine.listen(t) })
+			await(t, "the link to move", func() bool { return w.engine.heardOf("ATTACH") == 2 })
+			w.engine.mu.Lock()
+			w.engine.conn.Close()
+			w.engine.mu.Unlock()
+			await(t, "the link again", func() bool { return w.engine.heardOf("ATTACH") == 3 })
+			_, third, _ := w.try(dial, key(2), "hold")
+			w.engine.release()
+			for _, a := range []answer{<-got, <-second} {
+				assert.Equal(t, "result of "+first, a.body)
+			}
+			assert.Equal(t, "result of "+lost, (<-third).body)
+			_, fourth, _ := w.try(dial, key(1), "hold") // after the answer
+			assert.Equal(t, "result of "+first, (<-fourth).body)
+			assert.Zero(t, w.engine.heardOf("HALT"), "a keyed run is of use to its next try")
+
+			_, failed, _ := w.try(dial, key(3), "error")
+			assert.Equal(t, 500, (<-failed).status)
+			_, failed, _ = w.try(dial, key(3), "error")
+			assert.Equal(t, 500, (<-failed).status, "it ran: not refused, and not run again")
+			_, other, _ := w.try(dial, key(1), "ok")
+			assert.Equal(t, 500, (<-other).status, "the key of another request")
+			runs := w.engine.heardOf("RUN")
+			for _, bad := range []string{"", strings.Repeat("x", 200), "a b", "a,b", "k\x01"} {
+				_, a, _ := w.try(dial, bad, "ok")
+				assert.Equal(t, 400, (<-a).status, "%q", bad)
+			}
+			assert.Equal(t, runs, w.engine.heardOf("RUN"))
+			_, good, _ := w.try(dial, key(4), "ok")
+			assert.Equal(t, 200, (<-good).status)
+			w.engine.mu.Lock()
+			defer w.engine.mu.Unlock()
+			for trace, n := range w.engine.runs {
+				assert.Equal(t, 1, n, trace)
+			}
+			assert.Len(t, w.engine.runs, 4)
+		})
+	}
+}
+
+// TestReplayKeyTwiceInOne: a try that names two keys has none.
+func TestReplayKeyTwiceInOne(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, keyed(20*time.Second, 12*time.Second))
+	fields := fieldsOf(newTrace())
+	fields["Replay-Key"], fields["replay_key"] = "one", "two" // the same name on the wire
+	a, err := w.fcgiDo("/call/nom-update", fields, "ok")
+	require.NoError(t, err)
+	assert.Equal(t, 400, a.status)
+	c, err := dialAJP(w.ajp)
+	require.NoError(t, err)
+	fields = fieldsOf(newTrace())
+	fields["Replay-Key"], fields["replay-key"] = "one", "two"
+	a, err = c.do("/call/nom-update", fields, []byte("ok"))
+	require.NoError(t, err)
+	assert.Equal(t, 400, a.status)
+	assert.Zero(t, w.engine.heardOf("RUN"))
+}
+
+// TestReplayKeyRefused: a try that was refused unrun has used nothing up, and those that
+// wait for one that ends unrun are answered.
+func TestReplayKeyRefused(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, func(cfg object) {
+		keyed(20*time.Second, 12*time.Second)(cfg)
+		cfg["settings"].(object)["family_info"].(object)["memory_kb"] = 120 // for two requests
+	})
+	dial := protocols["fastcgi"]
+	var held []<-chan answer
+	for i := range 2 {
+		_, got, _ := w.try(dial, fmt.Sprint("held", i), "hold")
+		held = append(held, got)
+		await(t, "a run", func() bool { return w.engine.held() == i+1 })
+	}
+	_, got, _ := w.try(dial, "later", "ok")
+	assert.Equal(t, 503, (<-got).status)
+	w.engine.release()
+	for _, got := range held {
+		assert.Equal(t, 200, (<-got).status)
+	}
+	await(t, "its next try to run", func() bool {
+		_, got, _ := w.try(dial, "later", "ok")
+		return (<-got).status == 200
+	})
+	assert.Equal(t, 3, len(w.engine.runs))
+}
+
+// TestReplayKeyWindow: the window is counted from the arrival of the try that ran. A key
+// is used anew once no try that was written within it can be run any more.
+func TestReplayKeyWindow(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, keyed(300*time.Millisecond, 700*time.Millisecond))
+	dial := protocols["fastcgi"]
+	told := time.Now()
+	first, got, _ := w.try(dial, "k", "ok")
+	assert.Equal(t, "result of "+first, (<-got).body)
+	seen := "result of " + first
+	for seen == "result of "+first {
+		_, got, _ = w.try(dial, "k", "ok")
+		seen = (<-got).body
+		require.Less(t, time.Since(told), patience)
+	}
+	assert.GreaterOrEqual(t, time.Since(told), time.Second, "window and deadline")
+	assert.Len(t, w.engine.runs, 2)
+}
+
+// TestReplayKeysFull: a full table turns new keys away at once, and forgets none.
+func TestReplayKeysFull(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, func(cfg object) {
+		keyed(time.Minute, 12*time.Second)(cfg)
+		cfg["limits"].(object)["memory_mb"] = 32
+		cfg["settings"].(object)["family_info"].(object)["memory_kb"] = 1e6 // not the module's bound
+	})
+	c, err := dialFCGI(w.fcgi)
+	require.NoError(t, err)
+	send := func(keys ...int) (out []answer) { // on one connection, at once
+		for i, key := range keys {
+			fields := fieldsOf(newTrace())
+			fields["Replay-Key"] = "key-" + strconv.Itoa(key)
+			_, err := c.Write(fcgiRequest(uint16(i+1), "/call/nom-update", fields, []byte("big")))
+			require.NoError(t, err)
+		}
+		for range keys {
+			_, a, _, err := c.read()
+			require.NoError(t, err)
+			out = append(out, a)
+		}
+		return out
+	}
+	served := 0
+	for n := 0; ; n += 16 {
+		require.Less(t, n, 1<<14)
+		keys := make([]int, 16)
+		for i := range keys {
+			keys[i] = n + i
+		}
+		refused := slices.DeleteFunc(send(keys...), func(a answer) bool { return a.status == 200 })
+		served += 16 - len(refused)
+		if len(refused) > 0 {
+			assert.Equal(t, 503, refused[0].status)
+			assert.Equal(t, "1000", refused[0].headers["Hold-Off-Ms"], "the longest that is honoured")
+			break
+		}
+	}
+	runs := w.engine.heardOf("RUN")
+	assert.Equal(t, served, runs)
+	for _, a := range send(0, 1, runs/2, runs-20) {
+		assert.Equal(t, 200, a.status)
+	}
+	assert.Equal(t, runs, w.engine.heardOf("RUN"), "none was forgotten")
+	assert.Equal(t, 200, w.status("nom-submit", "ok"), "other work goes on")
+}
+
+// TestReplayKeyDrain: in a drain other tries still get the result of the one that ran.
+func TestReplayKeyDrain(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, func(cfg object) {
+		keyed(20*time.Second, 12*time.Second)(cfg)
+		cfg["settings"].(object)["safety"].(object)["drain_grace_ns"] = 1
+	})
+	dial := protocols["fastcgi"]
+	trace, got, _ := w.try(dial, "k", "hold")
+	await(t, "the run", func() bool { return w.engine.held() == 1 })
+	fields := fieldsOf(newTrace())
+	fields["Replay-Key"], fields["Accepted-At-Ms"] = "k", strconv.FormatInt(time.Now().Add(30*time.Second).UnixMilli(), 10)
+	again := fcgiRequest(1, "/call/nom-update", fields, []byte("hold"))
+	c, err := dialFCGI(w.fcgi)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write(again[:8]) // open when the drain begins
+	require.NoError(t, err)
+	c2, err := dialFCGI(w.fcgi)
+	require.NoError(t, err)
+	defer c2.Close()
+	_, err = c2.do("/ping", nil, nil)
+	require.NoError(t, err)
+	require.NoError(t, w.Signal(syscall.SIGTERM))
+	atItsEnd(t, c2, c2.r) // past the grace
+	_, err = c.Write(again[8:])
+	require.NoError(t, err)
+	_, other, _, err := func() (uint16, answer, byte, error) {
+		await(t, "the repeat to be read", func() bool { w.engine.release(); return len(got) == 1 })
+		return c.read()
+	}()
+	require.NoError(t, err)
+	assert.Equal(t, "result of "+trace, (<-got).body)
+	assert.Equal(t, "result of "+trace, other.body)
+	w.ended()
+	assert.Equal(t, 1, w.engine.heardOf("RUN"))
+}
+
+// TestReplayKeyRace: many tries of few requests at once, on many connections, give one
+// run each and the same result to all.
+func TestReplayKeyRace(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, keyed(20*time.Second, 12*time.Second))
+	var mu sync.Mutex
+	results := map[string]map[string]int{}
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c, err := dialFCGI(w.fcgi)
+			if !assert.NoError(t, err) {
+				return
+			}
+			defer c.Close()
+			for n := range 20 {
+				key := fmt.Sprint("race", n)
+				fields := fieldsOf(newTrace())
+				fields["Replay-Key"] = key
+				a, err := c.do("/call/nom-update", fields, []byte("ok"))
+				if !assert.NoError(t, err) {
+					return
+				}
+				mu.Lock()
+				if results[key] == nil {
+					results[key] = map[string]int{}
+				}
+				results[key][a.body]++
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	for key, got := range results {
+		assert.Len(t, got, 1, "%s: %v", key, got)
+	}
+	assert.Len(t, w.engine.runs, 20)
+}
--- /dev/null
+++ b/tests/settings_test.go
@@ -0,0 +1,152 @@
+package tests
+
+import (
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestSettingsOfOthers: each value that the page on the wire allows is served.
+func TestSettingsOfOthers(t *testing.T) {
+	t.Parallel()
+	for what, change := range map[string]func(set, info object){
+		"level":          func(_, info object) { info["advert"] = "level" },
+		"credit":         func(_, info object) { info["advert"] = "credit" },
+		"weight":         func(_, info object) { info["advert"] = "weight" },
+		"no halt":        func(_, info object) { info["halt"] = "none" },
+		"pause":          func(_, info object) { info["halt"] = "pause" },
+		"shared":         func(_, info object) { info["below"], info["calls_out"], info["dep_window_ns"] = "shared", 3.5, 5e9 },
+		"nothing below":  func(_, info object) { info["below"] = "none" },
+		"shared reads":   func(_, info object) { info["share_for_ns"] = 1e9 },
+		"calls left out": func(_, info object) { info["class_skip_worth"] = []float64{0.5, 0, 0.5, 0} },
+		"tells, passes": func(_, info object) {
+			info["tells_gone"], info["passes_deadline"], info["readiness"] = true, true, true
+		},
+		"deep checks":     func(_, info object) { info["deep_checks"] = true },
+		"other gauges":    func(_, info object) { info["own_stats"] = []string{"queue", "eps", "core_use"} },
+		"by request":      func(set, _ object) { set["counted_by"] = "request" },
+		"no callers yet":  func(_, info object) { info["callers"] = 0 },
+		"none listed":     func(set, _ object) { set["servers"] = 0 },
+		"a late aim":      func(set, _ object) { set["classes"].([]object)[3]["aim_ns"] = 60e9 },
+		"no advice":       func(set, _ object) { set["bounds"] = object{"retry_after": false} },
+		"a new key":       func(set, info object) { set["moon"], info["phase"] = object{"full": true}, "waning" },
+		"tenants":         func(set, _ object) { set["tenants"] = []object{{"name": "a", "share": 1, "allowance_per_s": 10}} },
+		"all keyed":       func(set, _ object) { set["classes"].([]object)[2]["effect"] = "deduplicated" },
+		"deeper tier":     func(set, _ object) { set["tier"] = 1 },
+		"no window, none": func(set, _ object) { set["classes"].([]object)[3]["window_ns"] = 0 },
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, func(cfg object) {
+				set := cfg["settings"].(object)
+				change(set, set["family_info"].(object))
+			})
+			for _, class := range classNames {
+				fields := fieldsOf(newTrace())
+				fields["Replay-Key"] = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+				a, err := w.fcgiDo("/call/"+class, fields, "call")
+				require.NoError(t, err)
+				assert.Equal(t, 200, a.status, class)
+			}
+			if what == "level" || what == "weight" || what == "credit" {
+				await(t, "the free value", func() bool {
+					a, err := w.fcgiDo("/ping", nil, "")
+					return err == nil && a.headers["Feedback"] != ""
+				})
+				a, err := w.call("nom-submit", "ok")
+				require.NoError(t, err)
+				assert.NotEmpty(t, a.headers["Feedback"])
+			} else {
+				a, err := w.call("nom-submit", "ok")
+				require.NoError(t, err)
+				assert.NotContains(t, a.headers, "Feedback", "nothing is said where nothing is heard")
+			}
+		})
+	}
+}
+
+// TestSettingsRefused: what the page does not allow ends the start with 2 and one line.
+func TestSettingsRefused(t *testing.T) {
+	t.Parallel()
+	for want, change := range map[string]func(set, info object){
+		"settings: classes.1.name":       func(set, _ object) { set["classes"].([]object)[1]["name"] = "balance-view" },
+		"settings: classes.2.name":       func(set, _ object) { set["classes"].([]object)[2]["name"] = "nom update" },
+		"settings: classes.3.name":       func(set, _ object) { delete(set["classes"].([]object)[3], "name") },
+		"settings: classes.effect":       func(set, _ object) { set["classes"].([]object)[3]["effect"] = "never" },
+		"settings: class 3":              func(set, _ object) { set["classes"].([]object)[3]["deadline_ns"] = 0 },
+		"settings: cores":                func(_, info object) { info["cores"] = 0 },
+		"settings: servers":              func(set, _ object) { set["servers"] = -1 },
+		"settings: run factor":           func(_, info object) { info["run_factor"] = 0 },
+		"settings: family_info.advert":   func(_, info object) { info["advert"] = "loud" },
+		"settings: family_info.below":    func(_, info object) { info["below"] = "above" },
+		"settings.family_info.memory_kb": func(_, info object) { info["memory_kb"] = "much" },
+	} {
+		s := start(t, func(cfg object) {
+			cfg["engine"] = "127.0.0.1:1"
+			set := cfg["settings"].(object)
+			change(set, set["family_info"].(object))
+		})
+		select {
+		case err := <-s.exit:
+			var exit *exec.ExitError
+			require.ErrorAs(t, err, &exit, want)
+			assert.Equal(t, 2, exit.ExitCode(), want)
+		case <-time.After(patience):
+			t.Fatal("still there: ", want)
+		}
+		assert.Contains(t, s.log(), want)
+	}
+}
+
+// TestPause: a run that gives way is paused, goes on where it was, over a link that broke
+// too, and is neither run again nor stopped for good; where nothing may be stopped,
+// nothing is.
+func TestPause(t *testing.T) {
+	t.Parallel()
+	for halt, halts := range map[string]int{"pause": 1, "none": 0} {
+		t.Run(halt, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, func(cfg object) {
+				set := cfg["settings"].(object)
+				set["counted_by"] = "request"
+				set["family_info"].(object)["halt"], set["family_info"].(object)["cores"] = halt, 1
+				set["classes"].([]object)[0]["aim_ns"] = 60e6 // first taken for six mean runs
+			})
+			var long string
+			var got <-chan answer
+			await(t, "a run", func() bool {
+				long = newTrace()
+				got = w.later("balance-view", long, "hold")
+				await(t, "a run or a refusal", func() bool { return w.engine.held() == 1 || len(got) == 1 })
+				return w.engine.held() == 1
+			})
+			if halts == 0 {
+				lost, _ := dialFCGI(w.fcgi) // its caller goes, and it is not stopped
+				gone := newTrace()
+				lost.Write(fcgiRequest(1, "/call/nom-submit", fieldsOf(gone), []byte("hold")))
+				lost.Close()
+				w.status("nom-update", "ok")
+				w.engine.release()
+				assert.Equal(t, 200, (<-got).status)
+				assert.Zero(t, w.engine.heardOf("HALT"))
+				return
+			}
+			await(t, "it to give way", func() bool {
+				a, err := w.call("nom-update", "ok")
+				return err == nil && a.status == 200 && w.engine.heardOf("HALT "+long) > 0
+			})
+			await(t, "it to go on", func() bool { return w.engine.heardOf("RESUME "+long) > 0 })
+			w.engine.mu.Lock()
+			w.engine.conn.Close()
+			w.engine.mu.Unlock()
+			await(t, "the link again", func() bool { return w.engine.heardOf("ATTACH") == 2 })
+			await(t, "what may have been lost with it", func() bool { return w.engine.heardOf("RESUME "+long) == 2 })
+			w.engine.release()
+			assert.Equal(t, "result of "+long, (<-got).body)
+			assert.Equal(t, 1, w.engine.heardOf("RUN "+long))
+		})
+	}
+}
