Readiness is reported where the list follows it; settings are checked by their own names

Cause: on sites with family_info.readiness the list goes along with the health, and reports said open until a drain's one closed, which may be lost (one datagram). Faults in settings named the module's words (run factor, class 3), not the field; settings of the store were checked less strictly than the file's, so a start could fail on them.

Change: directory.Serves, repeated in each report, from Status and Drain where readiness is set; sites without it as before. wire.Settings.Check names the field and value; core.Check is the one check for file and store.

--- a/cmd/oxbowbridge/keeper.go
+++ b/cmd/oxbowbridge/keeper.go
@@ -9,11 +9,11 @@
 
 	"go.uber.org/zap"
 
+	"oxbowbridge/internal/core"
 	"oxbowbridge/internal/fleet"
 	"oxbowbridge/internal/store"
 	"oxbowbridge/internal/storeadmin"
 	"oxbowbridge/internal/wire"
-	"oxbowbridge/rules"
 )
 
 // The keys of the store that the program reads and writes.
@@ -107,10 +107,7 @@
 	var w wire.Settings
 	err := wire.Decode(g.Value, &w)
 	if err == nil {
-		var set rules.Settings
-		if set, err = w.Rules(); err == nil {
-			_, err = rules.New(set, 0)
-		}
+		_, err = core.Check(&w)
 	}
 	if err != nil {
 		k.log.Error("settings of the store are not usable", zap.Uint64("revision", g.Revision), zap.Error(err))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -53,6 +53,7 @@
 // Directory is where the service is listed.
 type Directory interface {
 	Open()
+	Serves(ok bool) // or is listed as taking no work
 	Shut()
 }
 
@@ -133,6 +134,9 @@
 // has no word for is left unused: results of reads are not shared, calls not left out.
 func Check(w *wire.Settings) (rules.Settings, error) {
 	set, err := w.Rules()
+	if err == nil {
+		err = w.Check()
+	}
 	if err != nil {
 		return set, err
 	}
@@ -551,6 +555,9 @@
 	case rules.Status:
 		c.active = a.Active
 		c.health()
+		if c.Settings.Info.Readiness {
+			c.Directory.Serves(a.Active)
+		}
 		c.Log.Info("health", zap.Bool("good", a.Active))
 	case rules.Idle:
 		c.idle = a.Lifetime
@@ -636,7 +643,11 @@
 	c.draining, c.stopAt = true, c.Now()+stop
 	c.closeAt = min(c.Now()+c.set.DrainGrace, c.stopAt-stopLead)
 	c.Log.Info("drain", zap.Duration("stop_in", stop), zap.Int("open", len(c.byID)))
-	c.Directory.Shut()
+	if c.Settings.Info.Readiness {
+		c.Directory.Serves(false) // whatever its reports say now is listed at once
+	} else {
+		c.Directory.Shut()
+	}
 	c.tell(rules.Drain{TimeLeft: max(0, stop-stopLead)})
 	c.drainTick()
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,6 +15,12 @@
 // once in a million times.
 const pulseEvery = 300 * time.Millisecond
 
+// What reports say.
+const (
+	open   = "open"
+	closed = "closed"
+)
+
 // Link sends the reports.
 type Link struct {
 	link.Env
@@ -22,9 +28,10 @@
 	name string
 	sock *sock
 	next *deadline.Entry
-	open bool
-	shut bool
-	away bool // the latest report was not taken
+	open bool   // there are reports
+	shut bool   // for good
+	says string // what they say
+	away bool   // the latest report was not taken
 }
 
 // sock is the socket to one address, nil until it is open; a Link that has moved
@@ -33,10 +40,10 @@
 
 // New returns a Link that reports nothing yet, and never without an address.
 func New(addr, name string, env link.Env) *Link {
-	return &Link{Env: env, addr: addr, name: name}
+	return &Link{Env: env, addr: addr, name: name, says: open}
 }
 
-// Open reports this service as open from now on.
+// Open reports this service from now on, as open until it is told otherwise.
 func (l *Link) Open() {
 	if l.shut {
 		return
@@ -47,7 +54,7 @@
 		return
 	}
 	if l.sock != nil {
-		l.pulse("open")
+		l.pulse(l.says)
 		return
 	}
 	s := &sock{}
@@ -62,7 +69,7 @@
 			d.Close()
 		default:
 			s.Datagrams = d
-			l.pulse("open")
+			l.pulse(l.says)
 		}
 	})
 }
@@ -83,11 +90,23 @@
 	}
 }
 
+// Serves reports this service as open, or as listed and taking no work, from now on.
+// Reports get lost: each that follows says the same.
+func (l *Link) Serves(ok bool) {
+	was := l.says
+	if l.says = open; !ok {
+		l.says = closed
+	}
+	if l.open && !l.shut && l.says != was {
+		l.pulse(l.says)
+	}
+}
+
 // Shut reports this service as closed, and nothing after that: its entry lapses.
 func (l *Link) Shut() {
 	l.shut = true
 	l.Due.Cancel(l.next)
-	l.pulse("closed")
+	l.pulse(closed)
 }
 
 func (l *Link) pulse(state string) {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -51,6 +51,7 @@
 		Linger     time.Duration `json:"linger_ns"`
 		MemoryKB   float64       `json:"memory_kb"`
 		OwnStats   []string      `json:"own_stats"`
+		Readiness  bool          `json:"readiness"`
 		RunFactor  float64       `json:"run_factor"`
 		ShareFor   time.Duration `json:"share_for_ns"`
 		TellsGone  bool          `json:"tells_gone"`
--- a/tests/fronts_test.go
+++ b/tests/fronts_test.go
@@ -254,6 +254,39 @@
 	assert.Equal(t, "oxbowbridge: configuration: unexpected end of JSON input\n", string(out))
 }
 
+// TestDirectoryListens: where the list goes along with the health, a drain is reported
+// again and again, as reports get lost, and never as open.
+func TestDirectoryListens(t *testing.T) {
+	t.Parallel()
+	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer udp.Close()
+	w := newWorld(t, func(cfg object) {
+		cfg["lookup"] = udp.LocalAddr().String()
+		cfg["settings"].(object)["family_info"].(object)["readiness"] = true
+	})
+	said := func() string {
+		b := make([]byte, 100)
+		udp.SetReadDeadline(time.Now().Add(patience))
+		n, _, err := udp.ReadFrom(b)
+		require.NoError(t, err)
+		return string(b[:n])
+	}
+	require.Equal(t, "PULSE n3 open", said())
+	got := w.later("nom-submit", newTrace(), "hold")
+	await(t, "a run", func() bool { return w.engine.held() == 1 })
+	require.NoError(t, w.cmd.Process.Signal(os.Interrupt))
+	for s := said(); s != "PULSE n3 closed"; s = said() {
+		require.Equal(t, "PULSE n3 open", s)
+	}
+	for range 5 {
+		require.Equal(t, "PULSE n3 closed", said())
+	}
+	w.engine.release()
+	assert.Equal(t, 200, (<-got).status)
+	w.ended()
+}
+
 // TestDirectory: reports while it serves, and a last one at the notice.
 func TestDirectory(t *testing.T) {
 	t.Parallel()
--- a/tests/settings_test.go
+++ b/tests/settings_test.go
@@ -72,17 +72,21 @@
 func TestSettingsRefused(t *testing.T) {
 	t.Parallel()
 	for want, change := range map[string]func(set, info object){
-		"settings: classes.1.name":       func(set, _ object) { set["classes"].([]object)[1]["name"] = "balance-view" },
-		"settings: classes.2.name":       func(set, _ object) { set["classes"].([]object)[2]["name"] = "nom update" },
-		"settings: classes.3.name":       func(set, _ object) { delete(set["classes"].([]object)[3], "name") },
-		"settings: classes.effect":       func(set, _ object) { set["classes"].([]object)[3]["effect"] = "never" },
-		"settings: class 3":              func(set, _ object) { set["classes"].([]object)[3]["deadline_ns"] = 0 },
-		"settings: cores":                func(_, info object) { info["cores"] = 0 },
-		"settings: servers":              func(set, _ object) { set["servers"] = -1 },
-		"settings: run factor":           func(_, info object) { info["run_factor"] = 0 },
-		"settings: family_info.advert":   func(_, info object) { info["advert"] = "loud" },
-		"settings: family_info.below":    func(_, info object) { info["below"] = "above" },
-		"settings.family_info.memory_kb": func(_, info object) { info["memory_kb"] = "much" },
+		"settings: classes.1.name":         func(set, _ object) { set["classes"].([]object)[1]["name"] = "balance-view" },
+		"settings: classes.2.name":         func(set, _ object) { set["classes"].([]object)[2]["name"] = "nom update" },
+		"settings: classes.3.name":         func(set, _ object) { delete(set["classes"].([]object)[3], "name") },
+		"settings: classes.effect":         func(set, _ object) { set["classes"].([]object)[3]["effect"] = "never" },
+		"settings: classes.3.deadline_ns":  func(set, _ object) { set["classes"].([]object)[3]["deadline_ns"] = 0 },
+		"settings: family_info.cores":      func(_, info object) { info["cores"] = 0 },
+		"settings: servers":                func(set, _ object) { set["servers"] = -1 },
+		"settings: family_info.run_factor": func(_, info object) { info["run_factor"] = 0 },
+		"settings: family_info.advert":     func(_, info object) { info["advert"] = "loud" },
+		"settings: family_info.below":      func(_, info object) { info["below"] = "above" },
+		"settings: classes.0.window_ns":    func(set, _ object) { set["classes"].([]object)[0]["window_ns"] = -1 },
+		"settings: family_info.linger_ns":  func(_, info object) { info["linger_ns"] = -1 },
+		"settings: safety.cold_share":      func(set, _ object) { set["safety"].(object)["cold_share"] = 1.5 },
+		"settings: safety.fall_multiple":   func(set, _ object) { delete(set["safety"].(object), "fall_multiple") },
+		"settings.family_info.memory_kb":   func(_, info object) { info["memory_kb"] = "much" },
 	} {
 		s := start(t, func(cfg object) {
 			cfg["engine"] = "127.0.0.1:1"
