--- a/tests/endings_test.go
+++ b/tests/endings_test.go
@@ -338,3 +338,107 @@
 		}
 	}
 }
+
+// TestDrainAtEachStage: a notice finds requests half read, held back, on the cores, at
+// their call, and answered with the answer unread. Each gets its one answer, whole.
+func TestDrainAtEachStage(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, func(cfg object) { cfg["settings"].(object)["family_info"].(object)["cores"] = 1 })
+	dial := func() *fcgi {
+		c, err := dialFCGI(w.fcgi)
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	send := func(trace, body string) *fcgi {
+		c := dial()
+		_, err := c.Write(fcgiRequest(1, "/call/nom-submit", fieldsOf(trace), []byte(body)))
+		require.NoError(t, err)
+		return c
+	}
+	unread := send(newTrace(), "ok")
+	await(t, "a run", func() bool { return w.engine.heardOf("RUN") == 1 })
+	w.records.set("silence")
+	calling := newTrace()
+	called := send(calling, "call")
+	await(t, "a call", func() bool { return w.records.heardOf("OP "+calling) == 1 })
+	running := newTrace()
+	ran := send(running, "hold")
+	await(t, "a run", func() bool { return w.engine.held() == 1 })
+	late := newTrace()
+	held := send(late, "ok")
+	half := dial()
+	last := newTrace()
+	request := fcgiRequest(1, "/call/nom-submit", fieldsOf(last), []byte("ok"))
+	_, err := half.Write(request[:len(request)/2])
+	require.NoError(t, err)
+	assert.Equal(t, 200, w.ping(), "all before it is read")
+	require.NoError(t, w.Signal(syscall.SIGTERM))
+	await(t, "the notice", func() bool { return strings.Contains(w.log(), `"msg":"drain"`) })
+	_, err = half.Write(request[len(request)/2:])
+	require.NoError(t, err)
+	w.records.answer("reply")
+	w.engine.release()
+	for what, c := range map[string]*fcgi{"unread": unread, "at its call": called, "running": ran, "held": held, "half": half} {
+		_, a, _, err := c.read()
+		require.NoError(t, err, what)
+		if what == "held" || what == "half" { // one core: they may have been turned away
+			assert.Contains(t, []int{200, 503}, a.status, what)
+		} else {
+			assert.Equal(t, 200, a.status, what)
+		}
+		atItsEnd(t, c, c.r)
+		c.Close()
+	}
+	w.ended()
+	for trace, n := range w.engine.runs {
+		assert.Equal(t, 1, n, trace)
+	}
+}
+
+// TestHaltCrossesDone: a run that ended before its HALT was read counts as it ended. Its
+// caller is gone, so nobody hears, and no other try under its name runs again.
+func TestHaltCrossesDone(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	w.engine.mu.Lock()
+	w.engine.crosses = true
+	w.engine.mu.Unlock()
+	trace := newTrace()
+	c, err := dialFCGI(w.fcgi)
+	require.NoError(t, err)
+	_, err = c.Write(fcgiRequest(1, "/call/nom-submit", fieldsOf(trace), []byte("hold")))
+	require.NoError(t, err)
+	await(t, "a run", func() bool { return w.engine.held() == 1 })
+	c.Close()
+	await(t, "HALT", func() bool { return w.engine.heardOf("HALT "+trace) == 1 })
+	a, err := w.fcgiDo("/call/nom-submit", fieldsOf(trace), "ok")
+	require.NoError(t, err)
+	assert.Equal(t, 500, a.status, "it may have had its effect")
+	assert.Equal(t, 200, w.status("nom-submit", "ok"))
+	assert.Equal(t, 1, w.engine.runs[trace])
+	w.drain()
+}
+
+// TestRoomForOthersFirst: a full table makes room by ending what has said nothing, before
+// what has said half a message, though that came first.
+func TestRoomForOthersFirst(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, func(cfg object) { cfg["limits"].(object)["sockets"] = 80 }) // 30 connections of each front
+	request := fcgiRequest(1, "/call/nom-submit", fieldsOf(newTrace()), []byte("ok"))
+	half, err := dialFCGI(w.fcgi)
+	require.NoError(t, err)
+	defer half.Close()
+	_, err = half.Write(request[:len(request)/2])
+	require.NoError(t, err)
+	assert.Equal(t, 200, w.ping(), "the half is read")
+	for range 40 { // all within the time that half a message has
+		raw(t, w.fcgi)
+	}
+	assert.Equal(t, 200, w.ping(), "the forty are taken")
+	_, err = half.Write(request[len(request)/2:])
+	require.NoError(t, err)
+	_, a, _, err := half.read()
+	require.NoError(t, err)
+	assert.Equal(t, 200, a.status)
+}
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -292,6 +292,7 @@
 	heard   []string
 	deaf    bool // reads commands and does nothing
 	blind   bool // answers no STAT
+	crosses bool // runs end well just before their HALT is read
 	gauged  int  // STATs that it answered
 }
 
@@ -345,6 +346,8 @@
 		}
 	case w[0] == "FEED":
 		e.notice("DONE %d "+w[1]+" OK 5 ", string(body))
+	case w[0] == "HALT" && e.crosses:
+		e.notice("DONE %d "+w[1]+" OK 5 ", "result of "+w[1])
 	case w[0] == "HALT":
 		e.notice("DONE %d "+w[1]+" STOPPED 5 ", "")
 	}
