An example with a class that may come again, played by the toy service

examples/keyed.json, toy -key, the toy engine says what it runs; examples/README.md tells a newcomer what to do, and TestKeyedExample does it: two tries, one run, the same answer; another body fails; no key is a 400.

--- a/cmd/oxbowbridge/try.go
+++ b/cmd/oxbowbridge/try.go
@@ -111,7 +111,7 @@
 		go func() {
 			defer wg.Done()
 			sent := time.Now()
-			a, err := toy.Call(ctx, addr, k.class, fmt.Sprint("request ", i))
+			a, err := toy.Call(ctx, addr, toy.Request{Class: k.class, Body: fmt.Sprint("request ", i)})
 			mu.Lock()
 			defer mu.Unlock()
 			k.sent++
--- a/examples/toy/main.go
+++ b/examples/toy/main.go
@@ -2,6 +2,7 @@
 //
 //	go run ./examples/toy                       the engine, on 127.0.0.1:6100
 //	go run ./examples/toy -call nom-submit hi   one request to 127.0.0.1:9090
+//	go run ./examples/toy -call nom-update -key K hi   one of a class that may come again
 //
 // The engine runs four requests at a time, 300 ms each; more wait for a core.
 package main
@@ -22,10 +23,11 @@
 	addr := flag.String("engine", "127.0.0.1:6100", "where the engine listens")
 	service := flag.String("service", "127.0.0.1:9090", "where the service listens")
 	class := flag.String("call", "", "send one request of this class, with the arguments as its body")
+	key := flag.String("key", "", "the request's Replay-Key, the same for all its tries")
 	flag.Parse()
 	var err error
 	if *class != "" {
-		err = call(*service, *class, strings.Join(flag.Args(), " "))
+		err = call(*service, toy.Request{Class: *class, Key: *key, Body: strings.Join(flag.Args(), " ")})
 	} else {
 		err = serve(*addr)
 	}
@@ -40,11 +42,12 @@
 		return err
 	}
 	log.Println("toy engine on", ln.Addr())
-	return (&toy.Engine{Cores: 4, Work: 300 * time.Millisecond}).Serve(ln)
+	return (&toy.Engine{Cores: 4, Work: 300 * time.Millisecond,
+		Began: func(class, body string) { log.Printf("run: %s %s", class, body) }}).Serve(ln)
 }
 
-func call(addr, class, body string) error {
-	a, err := toy.Call(context.Background(), addr, class, body)
+func call(addr string, q toy.Request) error {
+	a, err := toy.Call(context.Background(), addr, q)
 	if err != nil {
 		return err
 	}
--- a/internal/toy/caller.go
+++ b/internal/toy/caller.go
@@ -15,6 +15,8 @@
 	"time"
 )
 
+const keyMost = 127 // bytes of a key, whose length is sent in one
+
 // Answer is what the service said to a request.
 type Answer struct {
 	Status  int
@@ -22,8 +24,15 @@
 	Body    string
 }
 
+// Request is one that is sent.
+type Request struct {
+	Class string
+	Key   string // Replay-Key, of a deduplicated class
+	Body  string
+}
+
 // Call sends one request over FastCGI, on a connection of its own.
-func Call(ctx context.Context, addr, class, body string) (Answer, error) {
+func Call(ctx context.Context, addr string, q Request) (Answer, error) {
 	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return Answer{}, err
@@ -33,10 +42,14 @@
 	defer stop()
 	id := make([]byte, 8)
 	rand.Read(id)
-	var params []byte
-	for _, p := range [][2]string{{"SCRIPT_NAME", "/call/" + class}, {"REQUEST_METHOD", "POST"},
+	fields := [][2]string{{"SCRIPT_NAME", "/call/" + q.Class}, {"REQUEST_METHOD", "POST"},
 		{"HTTP_TRACE_ID", hex.EncodeToString(id)}, {"HTTP_RESERVE_KB", "24.5"},
-		{"HTTP_ACCEPTED_AT_MS", strconv.FormatInt(time.Now().UnixMilli(), 10)}} {
+		{"HTTP_ACCEPTED_AT_MS", strconv.FormatInt(time.Now().UnixMilli(), 10)}}
+	if q.Key != "" {
+		fields = append(fields, [2]string{"HTTP_REPLAY_KEY", q.Key[:min(len(q.Key), keyMost)]})
+	}
+	var params []byte
+	for _, p := range fields {
 		params = append(params, byte(len(p[0])), byte(len(p[1])))
 		params = append(append(params, p[0]...), p[1]...)
 	}
@@ -48,8 +61,8 @@
 	record(1, "\x00\x01\x00\x00\x00\x00\x00\x00")
 	record(4, string(params))
 	record(4, "")
-	if body != "" {
-		record(5, body[:min(len(body), bodyMost-1)])
+	if q.Body != "" {
+		record(5, q.Body[:min(len(q.Body), bodyMost-1)])
 	}
 	record(5, "")
 	if _, err := c.Write(out); err != nil {
--- a/internal/toy/engine.go
+++ b/internal/toy/engine.go
@@ -21,7 +21,8 @@
 type Engine struct {
 	Cores int
 	Work  time.Duration
-	Calls []string // classes whose runs make a call below, half way
+	Calls []string                 // classes whose runs make a call below, half way
+	Began func(class, body string) // told of each run, if it is set
 
 	mu      sync.Mutex
 	conn    net.Conn
@@ -99,6 +100,9 @@
 		if len(w) > 2 && e.runs[w[1]] == nil {
 			reply := make(chan []byte, 1)
 			e.runs[w[1]] = reply
+			if e.Began != nil {
+				e.Began(w[2], string(body))
+			}
 			go e.run(w[1], w[2], body, reply)
 		}
 	case "FEED":
--- a/tests/examples_test.go
+++ b/tests/examples_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -14,7 +15,7 @@
 
 // fromFile starts the program on a configuration of the repository, with free
 // ports in place of its own, and the toy engine that it speaks to.
-func fromFile(t *testing.T, path string) (s *service, toy string) {
+func fromFile(t *testing.T, path string) (s *service, toy string, said *logBuffer) {
 	text, err := os.ReadFile(path)
 	require.NoError(t, err)
 	ports := map[string]string{}
@@ -34,6 +35,8 @@
 	out, err := exec.Command("go", "build", "-o", toy, "../examples/toy").CombinedOutput()
 	require.NoError(t, err, string(out))
 	engine := exec.Command(toy, "-engine", cfg["engine"].(string))
+	said = &logBuffer{}
+	engine.Stderr = said
 	require.NoError(t, engine.Start())
 	t.Cleanup(func() { engine.Process.Kill() })
 	s = start(t, func(c object) {
@@ -47,13 +50,13 @@
 		s.ajp = ajp["listen"].(string)
 	}
 	s.ready()
-	return s, toy
+	return s, toy, said
 }
 
 // TestExample does what examples/README.md tells a newcomer to do.
 func TestExample(t *testing.T) {
 	t.Parallel()
-	s, toy := fromFile(t, "../examples/config.json")
+	s, toy, _ := fromFile(t, "../examples/config.json")
 	out, err := exec.Command(toy, "-service", s.fcgi, "-call", "nom-submit", "200", "GJ").CombinedOutput()
 	require.NoError(t, err, string(out))
 	assert.Contains(t, string(out), "Status: 200")
@@ -61,11 +64,27 @@
 	s.drain()
 }
 
+// TestKeyedExample does what the same page tells of a class that may come again.
+func TestKeyedExample(t *testing.T) {
+	t.Parallel()
+	s, toy, said := fromFile(t, "../examples/keyed.json")
+	for i, tt := range []struct{ key, body, want string }{
+		{"k1", "200", "Status: 200\n\nnom-update done: 200"}, {"k1", "200", "Status: 200\n\nnom-update done: 200"},
+		{"k1", "300", "Status: 500"}, {"k2", "200", "Status: 200"}, {"", "200", "Status: 400"},
+	} {
+		out, err := exec.Command(toy, "-service", s.fcgi, "-call", "nom-update", "-key", tt.key, tt.body).CombinedOutput()
+		require.NoError(t, err, string(out))
+		assert.Contains(t, string(out), tt.want, i)
+	}
+	assert.Equal(t, 2, strings.Count(said.log(), "run: nom-update 200"), said.log())
+	s.drain()
+}
+
 // TestOperatorFile: the file under deploy/ serves both fronts, also while the
 // other nodes of its store are away.
 func TestOperatorFile(t *testing.T) {
 	t.Parallel()
-	s, _ := fromFile(t, "../deploy/operator.json")
+	s, _, _ := fromFile(t, "../deploy/operator.json")
 	c, err := dialAJP(s.ajp)
 	require.NoError(t, err)
 	c.secret = "change-me"
