A call that was lost is made again only once it can't linger below; silence is counted in time steps

Cause, by reading: on shared sites a call that broke, or whose reply was late, was made again at once while the first may stay in the dependency's hands for linger_ns: two in hand where the module counted one. The engine link's questions were counted as they came, and busy services ask more often than the 5 s suppose. The module was not told what a key costs of the table.

Change: records waits linger_ns where below is shared; questions closer than 250 ms count as one; five reads in a row; KeyKB is at least the key's part of the table.

--- a/cmd/oxbowbridge/serve.go
+++ b/cmd/oxbowbridge/serve.go
@@ -130,7 +130,11 @@
 		Now: func() time.Duration { return time.Since(began) }}
 	env := link.Env{Exchange: x, Loop: loop, Due: p.Deadlines, Now: p.Now, Log: log}
 	runner := runnerOf(cfg, env)
-	calls := records.New(cfg.Records, cfg.Limits.Sockets/callShare, env)
+	var lingers time.Duration
+	if cfg.Settings.Info.Below == "shared" {
+		lingers = cfg.Settings.Info.Linger
+	}
+	calls := records.New(cfg.Records, cfg.Limits.Sockets/callShare, lingers, env)
 	list := directory.New(cfg.Lookup, cfg.Name, env)
 	p.Runner, p.Calls, p.Directory = runner, calls, list
 	fronts := frontsOf(cfg, x, classes, log)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -165,6 +165,11 @@
 	if err != nil {
 		return nil, err
 	}
+	for _, k := range set.Classes {
+		if k.Effect == rules.Deduplicated { // the module's memory is full when the table is
+			set.KeyKB = max(set.KeyKB, set.MemoryKB/float64(max(1, p.KeysMost/dedup.EntryMost)))
+		}
+	}
 	return &Core{Parts: p, set: set, fresh: set.Fresh, byID: map[uint32]*request{}, byTrace: map[string]*request{},
 		spent: map[string]struct{}{}, keys: dedup.New(p.KeysMost), gauges: p.Settings.Gauges(nil), idle: set.IdleMax}, nil
 }
--- a/internal/dedup/dedup.go
+++ b/internal/dedup/dedup.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	entryCost  = 512     // bytes of an entry: its structure, its place in the map and in the order
-	ResultMost = 4 << 10 // bytes of a result, kept free for each request that has none yet
+	entryCost  = 512                          // bytes of an entry: its structure, its place in the map and in the order
+	ResultMost = 4 << 10                      // bytes of a result, kept free for each request that has none yet
+	EntryMost  = entryCost + 128 + ResultMost // bytes of an entry at the most, with a long key
 )
 
 // Verdict says what a try is.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -22,7 +22,8 @@
 	retryFirst = time.Millisecond
 	retryMost  = 500 * time.Millisecond
 	syncTag    = "sync"
-	quietMost  = 20 // questions without an answer, 5 s of them, after which a link counts as lost
+	quietStep  = 250 * time.Millisecond // questions that are closer count as one
+	quietMost  = 20                     // of them without an answer: 5 s, after which a link counts as lost
 	gaugeTag   = "gauges"
 )
 
@@ -54,8 +55,9 @@
 	last    uint64
 	gap     bool // notices are missing before the first one on this link
 	retry   time.Duration
-	quiet   int  // questions asked since the engine last said anything
-	pauses  bool // HALT pauses a run, and RESUME goes on with it
+	quiet   int           // questions asked since the engine last said anything
+	asked   time.Duration // when the latest of them was
+	pauses  bool          // HALT pauses a run, and RESUME goes on with it
 	runs    map[string]*run
 }
 
@@ -203,6 +205,11 @@
 	if l.conn == nil || !l.ready {
 		return
 	}
+	now := l.Now()
+	if now-l.asked < quietStep {
+		return
+	}
+	l.asked = now
 	if l.quiet++; l.quiet > quietMost {
 		l.lost(l.present, errQuiet)
 	}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -69,6 +69,7 @@
 	link.Env
 	addr    string
 	most    int // connections, as many as calls in hand; further ones wait
+	lingers time.Duration
 	open    int
 	calls   map[string]*call
 	waiting []*call       // without a connection, oldest first
@@ -78,9 +79,11 @@
 }
 
 // New returns a Link that connects when calls come, to so many connections at
-// most. Without an address no call is made.
-func New(addr string, most int, env link.Env) *Link {
-	return &Link{Env: env, addr: addr, most: most, calls: map[string]*call{}, mean: firstGuess, dev: firstGuess / 2}
+// most. Without an address no call is made. What is given up may stay in the hands of
+// a service that all share for as long as lingers says, and counts there: a call is
+// made again only after that, so that each request has one at a time.
+func New(addr string, most int, lingers time.Duration, env link.Env) *Link {
+	return &Link{Env: env, addr: addr, most: most, lingers: lingers, calls: map[string]*call{}, mean: firstGuess, dev: firstGuess / 2}
 }
 
 // Move has new calls go to another address. Those in hand stay where they are.
@@ -227,9 +230,13 @@
 	}
 	switch k := c.call; {
 	case k == nil:
-	case end == exchange.Broken && k.again() && l.Now() < k.until:
+	case end == exchange.Broken && k.again() && l.Now()+l.lingers < k.until:
 		c.call, k.conn = nil, nil
-		l.place(k)
+		if l.lingers == 0 {
+			l.place(k)
+		} else {
+			k.redial = l.Due.At(l.Now()+l.lingers, func() { l.place(k) })
+		}
 	default:
 		c.finish(end, nil)
 	}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -20,7 +20,7 @@
 	readBuffer = 16 << 10
 	writeMost  = 1 << 20     // unsent bytes of one connection, past which it is closed
 	dropMost   = 1 << 20     // bytes read and dropped after the end of a connection, past which it is closed
-	readsMost  = 16          // buffers read of one connection in a row: what a peer sent before its end is read
+	readsMost  = 5           // buffers read of one connection in a row: the longest message with its line, if the peer ends behind it
 	lingerMost = time.Second // that a peer has, after the end of a connection, to end its side too
 	// What crosses the end of a connection within 50 ms is sent again: for twice as long
 	// no bound on connections closes it over what may still come.
--- a/tests/settings_test.go
+++ b/tests/settings_test.go
@@ -105,6 +105,25 @@
 	}
 }
 
+// TestSharedCallsLinger: where all share what lies below, a call that was lost may still be
+// in its hands, and counts there: it is made again only once it can't be any more.
+func TestSharedCallsLinger(t *testing.T) {
+	t.Parallel()
+	for below, lingers := range map[string]time.Duration{"shared": 400 * time.Millisecond, "tier": 0} {
+		w := newWorld(t, func(cfg object) {
+			info := cfg["settings"].(object)["family_info"].(object)
+			info["below"], info["calls_out"], info["dep_window_ns"], info["linger_ns"] = below, 5, 5e9, 400e6
+		})
+		w.records.setOnce("break")
+		trace := newTrace()
+		began := time.Now()
+		got := w.later("balance-view", trace, "call")
+		assert.Equal(t, 200, (<-got).status, below)
+		assert.Equal(t, 2, w.records.heardOf("OP "+trace), below)
+		assert.GreaterOrEqual(t, time.Since(began), lingers, below)
+	}
+}
+
 // TestPause: a run that gives way is paused, goes on where it was, over a link that broke
 // too, and is neither run again nor stopped for good; where nothing may be stopped,
 // nothing is.
