--- a/tests/fronts_test.go
+++ b/tests/fronts_test.go
@@ -215,6 +215,25 @@
 	assert.Zero(t, w.engine.heardOf("RUN "+lost))
 }
 
+// refusesToStart starts the program on a file that is wrong: it ends with 2 and one line
+// that says what.
+func refusesToStart(t *testing.T, want string, change func(object)) {
+	s := start(t, func(c object) {
+		c["engine"] = "127.0.0.1:1"
+		change(c)
+	})
+	select {
+	case err := <-s.exit:
+		var exit *exec.ExitError
+		require.ErrorAs(t, err, &exit, want)
+		assert.Equal(t, 2, exit.ExitCode(), want)
+	case <-time.After(patience):
+		t.Fatal("still there: ", want)
+	}
+	assert.Equal(t, 1, strings.Count(s.log(), "\n"), s.log())
+	assert.Contains(t, s.log(), want)
+}
+
 // TestConfiguration: what is wrong is named in one plain line.
 func TestConfiguration(t *testing.T) {
 	t.Parallel()
@@ -230,20 +249,7 @@
 		"ajp.secret":                 func(c object) { c["ajp"] = object{"listen": "0.0.0.0:8009"} },
 		"ajp.upstreams":              func(c object) { c["ajp"] = object{"upstreams": []string{"127.0.0.1:1"}} },
 	} {
-		s := start(t, func(c object) {
-			c["engine"] = "127.0.0.1:1"
-			change(c)
-		})
-		select {
-		case err := <-s.exit:
-			var exit *exec.ExitError
-			require.ErrorAs(t, err, &exit, want)
-			assert.Equal(t, 2, exit.ExitCode(), want)
-		case <-time.After(patience):
-			t.Fatal("still there: ", want)
-		}
-		assert.Equal(t, 1, strings.Count(s.log(), "\n"), s.log())
-		assert.Contains(t, s.log(), want)
+		refusesToStart(t, want, change)
 	}
 	path := filepath.Join(t.TempDir(), "c.json")
 	require.NoError(t, os.WriteFile(path, []byte("{"), 0o600))
@@ -254,33 +260,38 @@
 	assert.Equal(t, "oxbowbridge: configuration: unexpected end of JSON input\n", string(out))
 }
 
-// TestDirectoryListens: where the list goes along with the health, a drain is reported
-// again and again, as reports get lost, and never as open.
-func TestDirectoryListens(t *testing.T) {
-	t.Parallel()
+// directory stands in for it: its address, and the next report that comes.
+func directory(t *testing.T) (addr string, next func() string) {
 	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer udp.Close()
-	w := newWorld(t, func(cfg object) {
-		cfg["lookup"] = udp.LocalAddr().String()
-		cfg["settings"].(object)["family_info"].(object)["readiness"] = true
-	})
-	said := func() string {
+	t.Cleanup(func() { udp.Close() })
+	return udp.LocalAddr().String(), func() string {
 		b := make([]byte, 100)
 		udp.SetReadDeadline(time.Now().Add(patience))
 		n, _, err := udp.ReadFrom(b)
 		require.NoError(t, err)
 		return string(b[:n])
 	}
-	require.Equal(t, "PULSE n3 open", said())
+}
+
+// TestDirectoryListens: where the list goes along with the health, a drain is reported
+// again and again, as reports get lost, and never as open.
+func TestDirectoryListens(t *testing.T) {
+	t.Parallel()
+	addr, next := directory(t)
+	w := newWorld(t, func(cfg object) {
+		cfg["lookup"] = addr
+		cfg["settings"].(object)["family_info"].(object)["readiness"] = true
+	})
+	require.Equal(t, "PULSE n3 open", next())
 	got := w.later("nom-submit", newTrace(), "hold")
 	await(t, "a run", func() bool { return w.engine.held() == 1 })
 	require.NoError(t, w.cmd.Process.Signal(os.Interrupt))
-	for s := said(); s != "PULSE n3 closed"; s = said() {
+	for s := next(); s != "PULSE n3 closed"; s = next() {
 		require.Equal(t, "PULSE n3 open", s)
 	}
 	for range 5 {
-		require.Equal(t, "PULSE n3 closed", said())
+		require.Equal(t, "PULSE n3 closed", next())
 	}
 	w.engine.release()
 	assert.Equal(t, 200, (<-got).status)
@@ -290,17 +301,8 @@
 // TestDirectory: reports while it serves, and a last one at the notice.
 func TestDirectory(t *testing.T) {
 	t.Parallel()
-	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer udp.Close()
-	w := newWorld(t, func(cfg object) { cfg["lookup"] = udp.LocalAddr().String() })
-	next := func() string {
-		b := make([]byte, 100)
-		udp.SetReadDeadline(time.Now().Add(patience))
-		n, _, err := udp.ReadFrom(b)
-		require.NoError(t, err)
-		return string(b[:n])
-	}
+	addr, next := directory(t)
+	w := newWorld(t, func(cfg object) { cfg["lookup"] = addr })
 	for i := range 3 {
 		require.Equal(t, "PULSE n3 open", next(), fmt.Sprint(i))
 	}
--- a/tests/settings_test.go
+++ b/tests/settings_test.go
@@ -1,7 +1,6 @@
 package tests
 
 import (
-	"os/exec"
 	"testing"
 	"time"
 
@@ -88,20 +87,10 @@
 		"settings: safety.fall_multiple":   func(set, _ object) { delete(set["safety"].(object), "fall_multiple") },
 		"settings.family_info.memory_kb":   func(_, info object) { info["memory_kb"] = "much" },
 	} {
-		s := start(t, func(cfg object) {
-			cfg["engine"] = "127.0.0.1:1"
+		refusesToStart(t, want, func(cfg object) {
 			set := cfg["settings"].(object)
 			change(set, set["family_info"].(object))
 		})
-		select {
-		case err := <-s.exit:
-			var exit *exec.ExitError
-			require.ErrorAs(t, err, &exit, want)
-			assert.Equal(t, 2, exit.ExitCode(), want)
-		case <-time.After(patience):
-			t.Fatal("still there: ", want)
-		}
-		assert.Contains(t, s.log(), want)
 	}
 }
 
