Nothing begins on a connection that ended between two steps of reading it (AJP)

The request would have been handed over and run, and its answer dropped. FastCGI asks under the lock.

Change: both steps ask again under the lock.

--- a/internal/ajp/front.go
+++ b/internal/ajp/front.go
@@ -149,6 +149,10 @@
 		return f.headers[strings.ToLower(name)]
 	}}}
 	c.Lock()
+	if c.Shut { // since the packet was looked at
+		c.Unlock()
+		return c.Skip(len(content))
+	}
 	c.call, c.Used = k, time.Now()
 	c.Open++
 	c.Unlock()
@@ -213,6 +217,10 @@
 // complete hands a request over: only now is it one.
 func (c *conn) complete(k *call) error {
 	c.Lock()
+	if c.call != k { // given up half done, just now: nobody would get its answer
+		c.Unlock()
+		return nil
+	}
 	k.whole = true
 	c.Came()
 	c.Unlock()
