A request whose connection was lost while it was read is not handed over

Cause, by reading: the news of a lost connection is told by another goroutine than the one that reads. Between the last look at the call and the submit it could overtake the request: the core found nothing to end, then ran a request to which no answer could go.

Change: the look and the submit are one step under the connection's lock (handOver, both fronts).

--- a/internal/ajp/front.go
+++ b/internal/ajp/front.go
@@ -235,15 +235,26 @@
 		return c.Fault()
 	}
 	req.Body, req.From = k.body, k
+	c.Read()
+	c.handOver(k, req)
+	return nil
+}
+
+// handOver submits a request, unless its connection was lost since it was read: the news
+// of that would come before it.
+func (c *conn) handOver(k *call, req *exchange.Request) {
 	c.Lock()
+	if c.call != k {
+		c.Unlock()
+		return
+	}
 	k.request = req
+	taken := c.front.x.Submit(req)
 	c.Unlock()
-	c.Read()
-	if !c.front.x.Submit(req) {
+	if !taken {
 		c.front.log.Warn("request turned down: no room")
 		c.reply(k, front.Reply{Status: 503}, true)
 	}
-	return nil
 }
 
 // fault fails a request whose body was not read: the connection can't go on.
--- a/internal/ajp/front_test.go
+++ b/internal/ajp/front_test.go
@@ -55,6 +55,13 @@
 	require.Empty(t, x.Take(nil))
 	require.Zero(t, c.Open)
 
+	c = connect() // its connection is lost between its last piece and the hand-over
+	require.NoError(t, c.forward(forward))
+	half = c.call
+	c.Closed(nil)
+	c.handOver(half, &exchange.Request{From: half})
+	require.Empty(t, x.Take(nil))
+
 	c = connect() // and without an end it is handed over
 	require.NoError(t, c.forward(forward))
 	require.NoError(t, c.chunk(c.call, piece))
--- a/internal/fastcgi/front.go
+++ b/internal/fastcgi/front.go
@@ -253,15 +253,26 @@
 	}
 	k.params = nil
 	req.Body, req.From = k.body, k
+	c.Read()
+	c.handOver(k, req)
+	return nil
+}
+
+// handOver submits a request, unless its connection was lost since it was read: the news
+// of that would come before it.
+func (c *conn) handOver(k *call, req *exchange.Request) {
 	c.Lock()
+	if k.answered {
+		c.Unlock()
+		return
+	}
 	k.request = req
+	taken := c.front.x.Submit(req)
 	c.Unlock()
-	c.Read()
-	if !c.front.x.Submit(req) {
+	if !taken {
 		c.front.log.Warn("request turned down: no room")
 		c.end(k, appendEnd(nil, k.id, statusOverloaded))
 	}
-	return nil
 }
 
 // fault fails one request. What is still to come of it is skipped.
--- a/internal/fastcgi/front_test.go
+++ b/internal/fastcgi/front_test.go
@@ -55,7 +55,15 @@
 		require.Empty(t, x.Take(nil), n)
 		require.Zero(t, c.Open, n)
 	}
-	c := connect() // and without an end it is handed over
+	c := connect() // its connection is lost between its last record and the hand-over
+	for _, r := range request[:4] {
+		require.NoError(t, c.record(r))
+	}
+	lost := c.calls[1]
+	c.Closed(nil)
+	c.handOver(lost, &exchange.Request{From: lost})
+	require.Empty(t, x.Take(nil))
+	c = connect() // and without an end it is handed over
 	for _, r := range request {
 		require.NoError(t, c.record(r))
 	}
