The end of a connection with too many faults stands once, in front.Base

Both fronts asked Answered whether the connection may go on and then took the lock and shut it down in the same four lines. Answered does that itself now; no bound or answer changes.

--- a/internal/ajp/front.go
+++ b/internal/ajp/front.go
@@ -266,11 +266,7 @@
 // Answer is called by the core.
 func (k *call) Answer(a exchange.Answer) {
 	k.conn.reply(k, front.Word(a), true)
-	if !k.conn.Answered(a) {
-		k.conn.Lock()
-		k.conn.ShutDown()
-		k.conn.Unlock()
-	}
+	k.conn.Answered(a)
 }
 
 // reply writes a response, once.
--- a/internal/fastcgi/front.go
+++ b/internal/fastcgi/front.go
@@ -314,11 +314,7 @@
 // Answer is called by the core.
 func (k *call) Answer(a exchange.Answer) {
 	k.conn.reply(k, front.Word(a))
-	if !k.conn.Answered(a) {
-		k.conn.Lock()
-		k.conn.ShutDown()
-		k.conn.Unlock()
-	}
+	k.conn.Answered(a)
 }
 
 func (c *conn) reply(k *call, r front.Reply) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -244,14 +244,18 @@
 // Came notes that a whole request has come. The caller holds the lock.
 func (b *Base) Came() { b.asked, b.owing = true, 0 }
 
-// Answered notes how a request ended, and tells whether the connection may go on.
-// A request that could be what it says pays for the faults before it.
-func (b *Base) Answered(a exchange.Answer) bool {
-	if a.Fault {
-		return b.Fault() == nil
-	}
-	b.faults.Store(0)
-	return true
+// Answered notes how a request ended, and has nothing begin on the connection any more if
+// it sends too many faults. A request that could be what it says pays for those before it.
+func (b *Base) Answered(a exchange.Answer) {
+	if !a.Fault {
+		b.faults.Store(0)
+		return
+	}
+	if b.Fault() != nil {
+		b.Lock()
+		defer b.Unlock()
+		b.ShutDown()
+	}
 }
 
 // Fault counts a faulty request. Guards against callers that send nothing else.
