Bytes that wait to be read are not idle; the end of a connection waits for a slow reader

Two gaps: - front.Base.EndIdle looked at what the event loop had read. Where the loop is behind (a starved process, a queue of connections taken as the listener closes) a request may lie unread for longer than the 50 ms in which a caller sends again what crossed an end: it was dropped. Now the system's receive queue is asked first (socket.Conn.Unread); a full table counts such a connection among the half messages. - socket.Conn.End counted its second from the call, also while written bytes waited: a peer that read slowly lost the rest. It begins at the half-close now, and anew while the peer goes on taking bytes; a peer that stands still has the time that all have.

--- a/internal/ajp/front.go
+++ b/internal/ajp/front.go
@@ -74,11 +74,11 @@
 	return c.LateBy(c.half())
 }
 
-// Half tells whether part of a packet or of a request has come.
+// Half tells whether part of a packet or of a request has come, read or not.
 func (c *conn) Half() bool {
 	c.Lock()
 	defer c.Unlock()
-	return c.half()
+	return c.half() || c.Unread()
 }
 
 func (c *conn) half() bool { return c.part || c.call != nil && !c.call.whole }
--- a/internal/fastcgi/front.go
+++ b/internal/fastcgi/front.go
@@ -82,11 +82,11 @@
 	return c.LateBy(c.half())
 }
 
-// Half tells whether part of a record or of a request has come.
+// Half tells whether part of a record or of a request has come, read or not.
 func (c *conn) Half() bool {
 	c.Lock()
 	defer c.Unlock()
-	return c.half()
+	return c.half() || c.Unread()
 }
 
 func (c *conn) half() bool {
--- a/internal/fastcgi/front_test.go
+++ b/internal/fastcgi/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,36 +15,97 @@
 	"oxbowbridge/internal/socket"
 )
 
-// TestNothingBeginsAfterTheEnd: the core ends a connection between two records of a
-// request on it. What was not whole by then is never handed over: it would run, and its
-// answer would find no connection.
-func TestNothingBeginsAfterTheEnd(t *testing.T) {
-	loop, err := socket.New(4)
-	require.NoError(t, err)
-	defer loop.Stop()
-	x := exchange.New(10)
-	f := New(x, map[string]front.Class{"nom-submit": {}}, zap.NewNop())
-	made := make(chan *conn, 1)
-	ln, err := loop.Listen("127.0.0.1:0", func(s *socket.Conn) socket.Handler {
-		c := &conn{front: f, Base: front.Base{Conn: s, Used: time.Now()}, calls: map[uint16]*call{}}
-		made <- c
-		return c
-	}, func(err error) { t.Error(err) })
-	require.NoError(t, err)
-	defer ln.Close()
-	connect := func() *conn {
-		c, err := net.Dial("tcp", ln.Addr().String())
-		require.NoError(t, err)
-		t.Cleanup(func() { c.Close() })
-		return <-made
-	}
+// wholeRequest is one, record by record.
+func wholeRequest() []record {
 	var params []byte
 	for _, p := range [][2]string{{"SCRIPT_NAME", "/call/nom-submit"}, {"REQUEST_METHOD", "POST"}, {"HTTP_TRACE_ID", "0123456789abcdef"},
 		{"HTTP_RESERVE_KB", "1"}, {"HTTP_ACCEPTED_AT_MS", strconv.FormatInt(time.Now().UnixMilli(), 10)}} {
 		params = appendPair(params, p[0], p[1])
 	}
-	request := []record{{typeBegin, 1, []byte{0, 1, 1, 0, 0, 0, 0, 0}}, {typeParams, 1, params}, {typeParams, 1, nil},
+	return []record{{typeBegin, 1, []byte{0, 1, 1, 0, 0, 0, 0, 0}}, {typeParams, 1, params}, {typeParams, 1, nil},
 		{typeStdin, 1, []byte("ok")}, {typeStdin, 1, nil}}
+}
+
+// blocker is a handler that keeps the loop from its work.
+type blocker struct{ begun, end chan struct{} }
+
+func (b blocker) Data([]byte)  { close(b.begun); <-b.end }
+func (b blocker) Closed(error) {}
+
+// TestUnreadIsNotIdle: a request came while the loop stood still. The end of idle
+// connections does not take it away unread, as it may have come too long before that to be
+// sent again, and a full table counts it among the half messages. It is handed over once
+// the loop goes on.
+func TestUnreadIsNotIdle(t *testing.T) {
+	f := newTestFront(t)
+	b := blocker{make(chan struct{}), make(chan struct{})}
+	ln, err := f.loop.Listen("127.0.0.1:0", func(*socket.Conn) socket.Handler { return b }, func(err error) { t.Error(err) })
+	require.NoError(t, err)
+	defer ln.Close()
+	stuck, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	defer stuck.Close()
+	_, err = stuck.Write([]byte("x"))
+	require.NoError(t, err)
+	<-b.begun
+	goOn := sync.OnceFunc(func() { close(b.end) })
+	defer goOn()
+	c, peer := f.connect()
+	var request []byte
+	for _, r := range wholeRequest() {
+		request = append(appendHeader(request, r.kind, r.id, len(r.content)), r.content...)
+	}
+	_, err = peer.Write(request)
+	require.NoError(t, err)
+	require.Eventually(t, c.Half, 10*time.Second, time.Millisecond)
+	require.False(t, c.CloseIdle(time.Now().Add(time.Hour), 0))
+	goOn()
+	var got []exchange.Event
+	require.Eventually(t, func() bool { got = append(got, f.x.Take(nil)...); return len(got) > 0 }, 10*time.Second, time.Millisecond)
+	require.IsType(t, &exchange.Request{}, got[0])
+}
+
+// testFront is a front whose connections the test has in hand.
+type testFront struct {
+	*testing.T
+	*Front
+	loop *socket.Loop
+	addr string
+	made chan *conn
+}
+
+func newTestFront(t *testing.T) *testFront {
+	loop, err := socket.New(4)
+	require.NoError(t, err)
+	t.Cleanup(loop.Stop)
+	f := &testFront{T: t, Front: New(exchange.New(10), map[string]front.Class{"nom-submit": {}}, zap.NewNop()), loop: loop, made: make(chan *conn, 1)}
+	ln, err := loop.Listen("127.0.0.1:0", func(s *socket.Conn) socket.Handler {
+		c := &conn{front: f.Front, Base: front.Base{Conn: s, Used: time.Now()}, calls: map[uint16]*call{}}
+		f.made <- c
+		return c
+	}, func(err error) { t.Error(err) })
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	f.addr = ln.Addr().String()
+	return f
+}
+
+// connect opens a connection, and returns both its ends.
+func (f *testFront) connect() (*conn, net.Conn) {
+	c, err := net.Dial("tcp", f.addr)
+	require.NoError(f, err)
+	f.Cleanup(func() { c.Close() })
+	return <-f.made, c
+}
+
+// TestNothingBeginsAfterTheEnd: the core ends a connection between two records of a
+// request on it. What was not whole by then is never handed over: it would run, and its
+// answer would find no connection.
+func TestNothingBeginsAfterTheEnd(t *testing.T) {
+	f := newTestFront(t)
+	x := f.x
+	connect := func() *conn { c, _ := f.connect(); return c }
+	request := wholeRequest()
 	for n := range request { // the end comes before the n-th record
 		c := connect()
 		for i, r := range request {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -183,7 +183,7 @@
 	Overdue() (late, stuck bool)
 	// Silent tells whether no whole request has come yet.
 	Silent() bool
-	// Half tells whether part of a message has come, and not its end.
+	// Half tells whether part of a message has come that is not read to its end, or at all.
 	Half() bool
 	LastUsed() time.Time
 	Pending() int // bytes that wait to be sent
@@ -210,10 +210,11 @@
 }
 
 // EndIdle ends the connection if no request is open and none was for so long, and tells
-// whether it has ended. Half a message is not idle: part says that one has come. The
+// whether it has ended. Half a message is not idle: part says that one has come; nor are
+// bytes that wait to be read, which may be a request that came long before the end. The
 // caller holds the lock, as for all that follows.
 func (b *Base) EndIdle(now time.Time, idle time.Duration, part bool) bool {
-	if !b.Shut && (part || b.Open > 0 || b.Pending() > 0 || now.Sub(b.Used) < idle) {
+	if !b.Shut && (part || b.Open > 0 || b.Pending() > 0 || now.Sub(b.Used) < idle || b.Unread()) {
 		return false
 	}
 	b.ShutDown()
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -14,6 +14,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -45,7 +46,9 @@
 	added   bool      // the loop has it
 	ending  bool      // nothing more is written
 	half    bool      // the peer was told
+	ended   time.Time // when End was called
 	until   time.Time // when it is closed, whatever the peer does
+	unsent  int       // bytes that waited to leave at the latest sweep since the end
 	dropped int       // bytes that came after the end
 }
 
@@ -69,11 +72,24 @@
 	return c.pending
 }
 
+// Unread tells whether bytes have come that are not read yet: where the loop is behind, a
+// connection on which nothing was read is not idle.
+func (c *Conn) Unread() bool {
+	c.nb.Lock()
+	defer c.nb.Unlock()
+	if closed, _ := c.nb.IsClosed(); closed {
+		return false
+	}
+	n, err := unix.IoctlGetInt(c.nb.Hash(), unix.SIOCINQ)
+	return err == nil && n > 0
+}
+
 // End ends the connection in order. All that was written leaves first, then the peer
 // is told that nothing more comes. What it still sends is read and dropped, since a
 // close over unread bytes would reset the connection under what was written. The
 // connection is closed once the peer has ended its side too, or the loop's bounds on
-// time, bytes and connections are reached. It can be called at any time, also again.
+// time, bytes and connections are reached; a peer that goes on taking what was written
+// has time for that. It can be called at any time, also again.
 func (c *Conn) End() {
 	c.mu.Lock()
 	first := !c.ending
@@ -89,7 +105,9 @@
 func (c *Conn) finish() {
 	c.mu.Lock()
 	now := c.added && c.ending && !c.half && c.pending <= 0
-	c.half = c.half || now
+	if now {
+		c.half, c.until = true, time.Now().Add(lingerMost)
+	}
 	c.mu.Unlock()
 	if !now {
 		return
@@ -131,6 +149,17 @@
 	}
 }
 
+// over tells whether a connection that has ended is to be closed.
+func (c *Conn) over(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending < c.unsent { // the peer reads on
+		c.until = now.Add(lingerMost)
+	}
+	c.unsent = c.pending
+	return !now.Before(c.until)
+}
+
 // Loop is the event loop.
 type Loop struct {
 	engine    *nbio.Engine
@@ -143,22 +172,23 @@
 // holds a descriptor.
 func (l *Loop) linger(c *Conn) {
 	now := time.Now()
+	c.mu.Lock()
+	c.ended, c.until, c.unsent = now, now.Add(lingerMost), c.pending
+	c.mu.Unlock()
 	l.mu.Lock()
-	c.until = now.Add(lingerMost)
 	l.lingering = append(l.lingering, c)
 	n := 0
-	for len(l.lingering)-n > l.most && !now.Before(l.lingering[n].until.Add(lingerLeast-lingerMost)) {
+	for len(l.lingering)-n > l.most && now.Sub(l.lingering[n].ended) >= lingerLeast {
 		n++
 	}
-	l.leave(n)
-}
-
-// leave closes the oldest so many. It is called with the lock, and releases it.
-func (l *Loop) leave(n int) {
 	old := slices.Clone(l.lingering[:n])
 	l.lingering = slices.Delete(l.lingering, 0, n)
 	l.mu.Unlock()
-	for _, c := range old {
+	abandon(old)
+}
+
+func abandon(conns []*Conn) {
+	for _, c := range conns {
 		c.Abandon()
 	}
 }
@@ -173,13 +203,18 @@
 // Sweep closes connections whose peers have had their time since the end, and tells
 // how many are left that have ended.
 func (l *Loop) Sweep(now time.Time) (left int) {
+	var old []*Conn
 	l.mu.Lock()
-	n := 0
-	for n < len(l.lingering) && !now.Before(l.lingering[n].until) {
-		n++
-	}
-	left = len(l.lingering) - n
-	l.leave(n)
+	l.lingering = slices.DeleteFunc(l.lingering, func(c *Conn) bool {
+		over := c.over(now)
+		if over {
+			old = append(old, c)
+		}
+		return over
+	})
+	left = len(l.lingering)
+	l.mu.Unlock()
+	abandon(old)
 	return left
 }
 
@@ -322,5 +357,29 @@
 	}()
 }
 
-// Stop closes all connections.
-func (l *Loop) Stop() { l.engine.Stop() }
+// Stop closes all connections. nbio forgets a stop that comes before its goroutine has
+// begun, and waits for ever: a connection that it has served shows that it has.
+func (l *Loop) Stop() {
+	begun := make(first, 1)
+	ln, err := l.Listen("127.0.0.1:0", func(*Conn) Handler { return begun }, begun.Closed)
+	if err == nil {
+		if c, err := net.Dial("tcp", ln.Addr().String()); err == nil {
+			c.Close()
+			<-begun
+		}
+		ln.Close()
+	}
+	l.engine.Stop()
+}
+
+// first is the handler of a loop's first connection, which only ends.
+type first chan struct{}
+
+func (f first) Data([]byte) {}
+
+func (f first) Closed(error) {
+	select {
+	case f <- struct{}{}:
+	default:
+	}
+}
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -118,7 +118,13 @@
 		require.NoError(t, err)
 		t.Cleanup(func() { c.Close() })
 		require.NoError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
-		return <-made, c.(*net.TCPConn)
+		p := <-made
+		require.Eventually(t, func() bool { // nothing is written before the loop has it
+			p.conn.mu.Lock()
+			defer p.conn.mu.Unlock()
+			return p.conn.added
+		}, 10*time.Second, time.Microsecond)
+		return p, c.(*net.TCPConn)
 	}
 }
 
@@ -197,6 +203,46 @@
 	}, 10*time.Second, time.Millisecond)
 }
 
+// TestEndWaitsForASlowReader: what was written leaves whole, however long a peer that goes
+// on reading takes over it; one that stands still has the time that all have.
+func TestEndWaitsForASlowReader(t *testing.T) {
+	const whole = 900 << 10
+	loop, connect := pair(t, 4)
+	owes := func() (*peer, *net.TCPConn) {
+		p, c := connect()
+		require.NoError(t, c.SetReadBuffer(32<<10))
+		require.NoError(t, p.conn.nb.SetWriteBuffer(32<<10))
+		p.conn.Write(make([]byte, whole))
+		require.Positive(t, p.conn.Pending())
+		p.conn.End()
+		return p, c
+	}
+	p, c := owes()
+	began := time.Now()
+	for read := 0; read < whole/2; {
+		waits := p.conn.Pending()
+		for p.conn.Pending() == waits {
+			n, err := c.Read(make([]byte, 32<<10))
+			require.NoError(t, err)
+			read += n
+		}
+		began = began.Add(lingerMost * 9 / 10)
+		require.Equal(t, 1, loop.Sweep(began), "after %d bytes", read)
+	}
+	_, err := io.Copy(io.Discard, c)
+	require.NoError(t, err)
+	require.NoError(t, c.CloseWrite())
+	require.NoError(t, drop(<-p.closed))
+
+	p, _ = owes()
+	at := time.Now()
+	require.Eventually(t, func() bool { // once the system's buffers are full
+		at = at.Add(lingerMost)
+		return loop.Sweep(at) == 0
+	}, 10*time.Second, time.Millisecond, "its time is over")
+	<-p.closed
+}
+
 // TestNoDelay: small writes leave at once, on connections of either origin.
 func TestNoDelay(t *testing.T) {
 	_, connect := pair(t, 2)
