Store: no request has a peer commit further than what it shows the peer to have

Found by reading Raft's library against its paper: a follower commits up to min(LeaderCommitIndex, its last entry) (raft.go, appendEntries), not up to the last entry that the request agrees on. Entries of an earlier leader that were never committed may stand there. A new leader's first request to a peer is put together in two steps: the end of its log is read, then its commit index (replicate, setupAppendEntries). If the goroutine is kept waiting between them, the request has no entries and a commit index beyond what it compares: the peer carries the old entries out, its log is mended with the next request, and its state stays another for good.

Mended where requests leave (acks.AppendEntries, its pipeline): the commit index goes no further than what the request compares and brings, as in the paper.

--- a/internal/store/acks.go
+++ b/internal/store/acks.go
@@ -22,6 +22,12 @@
 // follower it may have cut its log off and written it anew while a goroutine of the leader
 // that it was still read from it, and a peer that has not heard of the new term would
 // take the mixture for a log.
+//
+// And no request says that more is committed than it shows the peer to have. Raft has a
+// follower commit up to the last entry that the request agrees on; the library goes on to the
+// end of the follower's log, where entries of an earlier leader may stand that were never
+// committed. That happens if a new leader's first request to a peer is put together late: it
+// has no entries, and a commit index beyond what it compares.
 type acks struct {
 	*raft.NetworkTransport
 	term atomic.Pointer[func() uint64] // this node's; nil before Raft runs
@@ -46,7 +52,7 @@
 		return err
 	}
 	sent := time.Now()
-	err := a.NetworkTransport.AppendEntries(id, to, q, p)
+	err := a.NetworkTransport.AppendEntries(id, to, shown(q), p)
 	if err == nil && p.Term == q.Term {
 		a.note(id, ack{q.Term, sent})
 	}
@@ -73,7 +79,18 @@
 	if err := t.acks.present(q.Term); err != nil {
 		return nil, err
 	}
-	return t.AppendPipeline.AppendEntries(q, p)
+	return t.AppendPipeline.AppendEntries(shown(q), p)
+}
+
+// shown is a request whose commit index is no further than what it compares and brings.
+func shown(q *raft.AppendEntriesRequest) *raft.AppendEntriesRequest {
+	last := q.PrevLogEntry + uint64(len(q.Entries))
+	if q.LeaderCommitIndex <= last {
+		return q
+	}
+	own := *q
+	own.LeaderCommitIndex = last
+	return &own
 }
 
 var errTermOver = errors.New("the term is over")
--- a/internal/store/acks_test.go
+++ b/internal/store/acks_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/raft"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // TestAcks: only answers of voters in the term to what was sent since then make a
@@ -44,3 +48,67 @@
 	assert.ErrorIs(t, err, errTermOver)
 	assert.NoError(t, a.present(8))
 }
+
+// applied is a raft.FSM that keeps what it was given.
+type applied struct {
+	mu   sync.Mutex
+	data []string
+}
+
+func (a *applied) Apply(l *raft.Log) any {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.data = append(a.data, string(l.Data))
+	return nil
+}
+
+func (a *applied) all() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.data)
+}
+
+func (a *applied) Snapshot() (raft.FSMSnapshot, error) { return nil, errors.New("none") }
+func (a *applied) Restore(io.ReadCloser) error         { return errors.New("none") }
+
+// TestCommitsWhatWasShown: a peer has an entry of an earlier leader that was never committed.
+// The new leader's first request to it comes late: it compares the entry before that one,
+// brings none, and the leader has committed another in its place. The peer must not carry
+// the old entry out, as it would then have made something else of the same log for good.
+func TestCommitsWhatWasShown(t *testing.T) {
+	transport := func() *raft.NetworkTransport {
+		n, err := raft.NewTCPTransport("127.0.0.1:0", nil, 1, 10*time.Second, io.Discard)
+		require.NoError(t, err)
+		t.Cleanup(func() { n.Close() })
+		return n
+	}
+	peer, leader := transport(), newAcks(transport())
+	rc := raft.DefaultConfig()
+	rc.LocalID, rc.LogOutput = "peer", io.Discard
+	rc.HeartbeatTimeout, rc.ElectionTimeout, rc.LeaderLeaseTimeout = time.Hour, time.Hour, time.Hour // it is told all by the test
+	disk, state := raft.NewInmemStore(), &applied{}
+	snaps := raft.NewInmemSnapshotStore()
+	require.NoError(t, raft.BootstrapCluster(rc, disk, disk, snaps, peer, raft.Configuration{Servers: []raft.Server{
+		{ID: "peer", Address: peer.LocalAddr()}, {ID: "leader", Address: leader.LocalAddr()}, {ID: "third", Address: "127.0.0.1:1"}}}))
+	require.NoError(t, disk.StoreLogs([]*raft.Log{{Index: 2, Term: 1, Data: []byte("first")}, {Index: 3, Term: 1, Data: []byte("never committed")}}))
+	node, err := raft.NewRaft(rc, state, disk, disk, snaps, peer)
+	require.NoError(t, err)
+	t.Cleanup(func() { node.Shutdown().Error() })
+
+	pipeline, err := leader.AppendEntriesPipeline("peer", peer.LocalAddr())
+	require.NoError(t, err)
+	defer pipeline.Close()
+	request := func(entries ...*raft.Log) *raft.AppendEntriesRequest {
+		return &raft.AppendEntriesRequest{RPCHeader: raft.RPCHeader{ProtocolVersion: raft.ProtocolVersionMax, ID: []byte("leader"), Addr: []byte(leader.LocalAddr())},
+			Term: 3, PrevLogEntry: 2, PrevLogTerm: 1, Entries: entries, LeaderCommitIndex: 3}
+	}
+	var answer raft.AppendEntriesResponse
+	require.NoError(t, leader.AppendEntries("peer", peer.LocalAddr(), request(), &answer))
+	require.True(t, answer.Success)
+	f, err := pipeline.AppendEntries(request(), &answer)
+	require.NoError(t, err)
+	require.NoError(t, f.Error())
+	require.NoError(t, leader.AppendEntries("peer", peer.LocalAddr(), request(&raft.Log{Index: 3, Term: 3, Data: []byte("committed")}), &answer))
+	require.Eventually(t, func() bool { return len(state.all()) >= 2 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, []string{"first", "committed"}, state.all())
+}
