--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -175,6 +175,7 @@
 	Entries  map[string]Entry    `json:"entries"`
 	Sessions map[uint64]*session `json:"sessions"`
 	Leases   *lease.State        `json:"leases"`
+	Sum      Sum                 `json:"sum"`
 
 	bytes int // of all values; -1 until it is counted
 }
@@ -198,13 +199,25 @@
 // Clone copies it, but for the values, which nothing changes.
 func (s *State) Clone() *State {
 	c := &State{Applied: s.Applied, TimeMS: s.TimeMS, Entries: maps.Clone(s.Entries), Sessions: map[uint64]*session{},
-		Leases: s.Leases.Clone(), bytes: -1}
+		Leases: s.Leases.Clone(), Sum: s.Sum, bytes: -1}
 	for id, x := range s.Sessions {
 		c.Sessions[id] = &session{x.SeenMS, x.Last, slices.Clone(x.Kept)}
 	}
 	return c
 }
 
+// Carry carries out one entry of the log, whose text is data: the request in it or, with bad,
+// nothing. It gives the keys that it changed.
+func (s *State) Carry(index uint64, data []byte, r *Request, bad error) (a Answer, changed []string, err error) {
+	if err = bad; err != nil {
+		s.Applied = index
+	} else {
+		a, changed, err = s.Apply(index, r)
+	}
+	s.chain(index, data, &a, err)
+	return a, changed, err
+}
+
 // Apply carries one request out, under its index in the log, which becomes the
 // revision of what it writes. It gives the keys that it changed.
 func (s *State) Apply(index uint64, r *Request) (a Answer, changed []string, err error) {
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -24,14 +24,16 @@
 	keptStarts = "starts" // how often it was opened
 	keptJoiner = "joiner" // there if the folder took the place of another
 	keptSeen   = "seen"   // marks of other disks
+	keptApart  = "apart"  // there if its state was found to differ from that of most others
 	diskBytes  = 8        // of a disk's identity
 )
 
-// openDisk opens the node's folder, or makes it. One that is damaged is set aside, whole,
-// and a new one is begun that never makes a cluster: what it promised, others must know.
+// openDisk opens the node's folder, or makes it. One that is damaged, or whose state differs,
+// is set aside, whole, and a new one is begun that never makes a cluster: what it promised,
+// others must know.
 func (s *Store) openDisk() (*raftdisk.Disk, error) {
 	disk, err := s.tryDisk()
-	if !errors.Is(err, durable.ErrDamaged) {
+	if !errors.Is(err, durable.ErrDamaged) && !errors.Is(err, errApart) {
 		return disk, err
 	}
 	aside := ""
@@ -41,9 +43,9 @@
 			break
 		}
 	}
-	s.log.Error("folder is damaged, it is set aside, and this node becomes a new member", zap.String("aside", aside), zap.Error(err))
+	s.log.Error("folder can't be used, it is set aside, and this node becomes a new member", zap.String("aside", aside), zap.Error(err))
 	if err := os.Rename(s.cfg.Dir, aside); err != nil {
-		return nil, fmt.Errorf("set damaged folder aside: %w", err)
+		return nil, fmt.Errorf("set folder aside: %w", err)
 	}
 	if disk, err = s.tryDisk(); err != nil {
 		return nil, err
@@ -66,6 +68,12 @@
 	if report.Loss == durable.TailLoss {
 		s.log.Info("unsynced tail of the log cut off", zap.Int64("bytes", report.CutBytes))
 	}
+	if apart, err := disk.Kept(keptApart); apart != nil || err != nil {
+		if err == nil {
+			err = errApart
+		}
+		return nil, errors.Join(err, disk.Close())
+	}
 	return disk, nil
 }
 
--- a/internal/store/life.go
+++ b/internal/store/life.go
@@ -76,6 +76,10 @@
 // errRemoved ends the life of a member that the others have removed.
 var errRemoved = errors.New("the others have removed this disk from the members")
 
+// errApart ends the life of a node that has made something else of the log than most others.
+// Its log may be the same by now: all that it has is given up.
+var errApart = errors.New("the state differs from that of most other nodes")
+
 // errReplaced ends the life of a member of a cluster that was recovered as another.
 var errReplaced = errors.New("the cluster was recovered as another")
 
@@ -279,6 +283,9 @@
 		}
 		conf, index := l.conf()
 		s.followAll(conf)
+		if at, apart := s.state.checked().Apart(s.peers.checks(conf, l.id)); apart {
+			return errors.Join(fmt.Errorf("%w: at entry %d of the log", errApart, at), l.disk.Keep(keptApart, []byte("1")))
+		}
 		_, in := serverOf(conf, l.id)
 		if in && !l.joined.Swap(true) {
 			s.log.Info("taken in", zap.String("id", l.id))
--- a/internal/store/peers.go
+++ b/internal/store/peers.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"oxbowbridge/internal/identity"
+	"oxbowbridge/internal/kv"
 	"oxbowbridge/internal/storeapi"
 	"oxbowbridge/internal/storeclient"
 )
@@ -173,6 +174,21 @@
 	return h, !h.at.IsZero() && time.Since(h.at) < heardTime
 }
 
+// checks are what the other voters said of their states of late, and how many voters there are.
+func (p *peers) checks(conf raft.Configuration, own string) (list []kv.Checks, voters int) {
+	for _, x := range conf.Servers {
+		id := string(x.ID)
+		if x.Suffrage != raft.Voter {
+			continue
+		}
+		voters++
+		if h, now := p.last(identity.Name(id)); id != own && now && h.ID == id {
+			list = append(list, h.Checks)
+		}
+	}
+	return list, voters
+}
+
 // words are the answers that count at a start; all tells whether each node was asked at
 // least once, and answered or could not.
 func (p *peers) words() (words map[string]identity.Word, all bool, news <-chan struct{}) {
--- a/internal/store/state.go
+++ b/internal/store/state.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"slices"
 	"sync"
 
 	"github.com/hashicorp/raft"
@@ -69,6 +70,7 @@
 	changed  chan struct{}
 	moved    chan struct{}             // closed when a command was applied
 	given    func(name, holder string) // called for a lease that went to one who waited
+	checks   kv.Checks
 }
 
 func newState() *state {
@@ -80,11 +82,18 @@
 func (s *state) reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.kv = kv.New()
+	s.kv, s.checks = kv.New(), nil
 	s.history.Reset(0)
 	s.advance()
 }
 
+// checked are the checksums of the state of late.
+func (s *state) checked() kv.Checks {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.checks)
+}
+
 // progress is the last command that the state has, and a channel that is closed once
 // it has another.
 func (s *state) progress() (applied uint64, moved <-chan struct{}) {
@@ -153,10 +162,10 @@
 	var changed []string
 	s.mu.Lock()
 	if err != nil {
-		s.kv.Applied, out.err = l.Index, fmt.Errorf("log entry %d: %w", l.Index, err)
-	} else {
-		out.answer, changed, out.err = s.kv.Apply(l.Index, r)
+		err = fmt.Errorf("log entry %d: %w", l.Index, err)
 	}
+	s.checks = s.checks.Before(l.Index, s.kv)
+	out.answer, changed, out.err = s.kv.Carry(l.Index, l.Data, r, err)
 	changes := make([]watch.Change, len(changed))
 	for i, key := range changed {
 		e := s.kv.Entries[key]
@@ -207,6 +216,7 @@
 	from := kv.New()
 	var form struct {
 		Applied *uint64 `json:"applied"`
+		Sum     *kv.Sum `json:"sum"`
 	}
 	if json.Unmarshal(text, &form) == nil && form.Applied != nil {
 		err = json.Unmarshal(text, from)
@@ -221,8 +231,11 @@
 	if from.Leases == nil || from.Leases.Leases == nil {
 		from.Leases = lease.NewState(0)
 	}
+	if form.Sum == nil { // of a version that kept none
+		from.Sum = kv.Sum{From: from.Applied}
+	}
 	s.mu.Lock()
-	s.kv = from
+	s.kv, s.checks = from, nil
 	s.history.Reset(from.Applied)
 	entries := maps.Clone(from.Entries)
 	s.advance()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -268,7 +268,7 @@
 	out.Mark, out.Fresh = own.Mark, own.Fresh
 	out.Config, out.Members, out.Voters, out.Addresses = own.Config, own.Members, own.Voters, f.addresses
 	if l := s.now.Load(); l != nil {
-		out.State, out.Applied = stateServing, l.raft.AppliedIndex()
+		out.State, out.Applied, out.Checks = stateServing, l.raft.AppliedIndex(), s.state.checked()
 		if m, err := l.disk.Mark(); err == nil {
 			out.Mark = m.Max(own.Mark)
 		}
--- a/internal/storeapi/storeapi.go
+++ b/internal/storeapi/storeapi.go
@@ -62,6 +62,8 @@
 	Admin   string        `json:"admin"`
 	Zone    string        `json:"zone,omitempty"`
 	Leases  bool          `json:"leases,omitempty"` // the node knows them
+	// Checks are checksums of its state, to be compared.
+	Checks kv.Checks `json:"checks,omitempty"`
 	// Addresses of the members, for one that does not know of all of them.
 	Addresses map[string]string `json:"addresses,omitempty"`
 }
--- a/tests/disks_test.go
+++ b/tests/disks_test.go
@@ -525,3 +525,44 @@
 	c.Strong(0, 1, 2)
 	assert.True(t, filled(t, c, 0, "note", 20))
 }
+
+// TestStateApart: a node has made something else of one entry than the others, and its log
+// goes on as theirs does, so that Raft sees nothing. The node finds out, says so, gives up all
+// that it has, and comes back as a new member with the others' state.
+func TestStateApart(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	odd := (c.Leader() + 1) % 3
+	other := (odd + 1) % 3
+	c.Put(other, "note/one", `"as most have it"`)
+	c.Equal(0, 1, 2)
+	was := c.id(odd)
+	c.Kill(odd)
+	disk, _, err := raftdisk.Open(c.Dirs[odd])
+	require.NoError(t, err)
+	last, err := disk.LastIndex()
+	require.NoError(t, err)
+	var rest []*raft.Log
+	for i, found := last, false; !found; i-- {
+		l := &raft.Log{}
+		require.NoError(t, disk.GetLog(i, l))
+		if found = strings.Contains(string(l.Data), "as most have it"); found {
+			l.Data = []byte(strings.Replace(string(l.Data), "as most have it", "as only this one has it", 1))
+		}
+		rest = append([]*raft.Log{l}, rest...)
+	}
+	require.NoError(t, disk.DeleteRange(rest[0].Index, last))
+	require.NoError(t, disk.StoreLogs(rest))
+	require.NoError(t, disk.Close())
+	c.Start(odd)
+	fill(c, other, "more", 40)
+	await(t, "the node to find out", func() bool {
+		return strings.Contains(c.nodes[odd].log(), "the state differs from that of most other nodes: at entry ")
+	})
+	c.Strong(0, 1, 2)
+	assert.NotEqual(t, was, c.id(odd))
+	c.Has(odd, "note/one", `"as most have it"`)
+	await(t, "all keys", func() bool { return filled(t, c, odd, "more", 40) })
+	c.Equal(0, 1, 2)
+	assert.DirExists(t, c.Dirs[odd]+".refused-1", "what it had is kept for whoever looks into it")
+}
