Calls to a shared dependency are bounded by how long they take, not by the told share

To blame in rules.go: callRoom used the whole share, though what is shared slows down well before it; and decide took late requests "on an idle server", which it judged by what is held or running, not by what waits for its call. So all stood in line for calls too late for their aims, and the line stayed after the trouble.

Now a bound under the share (the design's "own bound" of requests at calls): a call that takes over a tenth of its class's aim, or is turned away, lowers it, others raise it by one a round; and while more wait for calls than are at them late requests are refused at once. Two tests, which fail without it.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -35,6 +35,8 @@
 	stateMost      = 400                    // S at most: bounds the time of a plan
 	planRounds     = 60                     // PI-B iterations at most: it settles in under ten
 	callWeight     = 0.25                   // of a run: what a request at a call will soon want of the cores
+	callCrowd      = 0.1                    // of the aim: a call that takes longer stands in a crowd
+	callYield      = 0.25                   // of a call in hand, given up for each of those
 	callLeast      = 20 * time.Millisecond  // a call given less time is not worth making
 	stopMargin     = 40 * time.Millisecond  // before the stop: all is answered by then
 	intakeShare    = 0.22                   // of the aim: a wait to be read that starves the rest
@@ -267,8 +269,9 @@
 		return nil, err
 	}
 	c := &Controller{set: s, byID: map[uint32]*request{}, limit: s.Cores, healthy: true, said: -1,
-		est: estimator{counts: make([]float64, len(s.Classes))}, usage: make([]float64, len(s.Tenants)),
-		service: make([]float64, len(s.Classes)), success: make([]float64, len(s.Classes))}
+		calls: s.CallShare, est: estimator{counts: make([]float64, len(s.Classes))},
+		usage: make([]float64, len(s.Tenants)), service: make([]float64, len(s.Classes)),
+		success: make([]float64, len(s.Classes))}
 	for i, k := range s.Classes {
 		c.success[i] = 1
 		c.service[i] = k.Aim.Seconds() / aimsPerWork
@@ -520,7 +523,8 @@
 	}
 	s, full := c.state(), !c.canRun() || c.n[held] > 0
 	c.waited = c.waited || full
-	late := c.reward(r, s) < 0 && (c.draining || c.now >= c.expiry(r) || s > 0 && c.refused > refusedVain)
+	late := c.reward(r, s) < 0 &&
+		(c.draining || c.now >= c.expiry(r) || c.behind() || s > 0 && c.refused > refusedVain)
 	if late || full && !c.yield() && (s >= len(c.plan.bias) || c.reward(r, s) < c.plan.bias[s]) {
 		c.refuse(r)
 		return
@@ -675,19 +679,34 @@
 	}
 }
 
-// callRoom keeps the calls in hand under the told share of what all may have
-// there; abandoned calls that linger count too. Below one, the mean over the
+// callRoom keeps the calls in hand under their bound, at most the told share of what all may
+// have there; abandoned calls that linger count too. Below one, the mean over the
 // window is kept instead: call time is saved up at half the share.
 func (c *Controller) callRoom() bool {
 	if c.set.Below != BelowShared {
 		return true
 	}
 	if c.set.CallShare >= 1 {
-		return float64(c.n[calling]+len(c.lingering)+1) <= c.set.CallShare
+		return float64(c.n[calling]+len(c.lingering)+1) <= c.calls
 	}
 	return c.n[calling]+len(c.lingering) == 0 && c.callTime >= c.set.Linger.Seconds()+callLeast.Seconds()
 }
 
+// behind tells whether more wait for calls than are at them: cores may be free, the server isn't.
+func (c *Controller) behind() bool {
+	return c.set.Below == BelowShared && c.set.CallShare >= 1 && float64(c.n[standing]) > c.calls
+}
+
+// callTook moves the bound on calls in hand, of which the share is a ceiling, not a target: what all
+// share slows down well before it dies. Calls that are turned away, or take long, lower it.
+func (c *Controller) callTook(e Replied, class int) {
+	if e.Outcome == Full || e.Took.Seconds() > callCrowd*c.set.Classes[class].Aim.Seconds() {
+		c.calls = math.Max(1, c.calls-callYield)
+	} else if e.Outcome != Unreachable {
+		c.calls = math.Max(1, math.Min(c.set.CallShare, c.calls+1/math.Max(1, c.calls)))
+	}
+}
+
 func (c *Controller) linger() { c.lingering = append(c.lingering, c.now+c.set.Linger) }
 
 // callEnd is when a call that starts now is abandoned.
@@ -714,6 +733,7 @@
 	if r == nil || r.phase != calling {
 		return
 	}
+	c.callTook(e, r.class)
 	if e.Outcome == OK {
 		c.move(r, running)
 		return
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -719,3 +719,60 @@
 	r := newRig(t, func(s *Settings) { s.MemoryKB = 11 }) // room to hold a request, never to run it
 	r.want(r.at(0, ask(1, 0)), Refuse{ID: 1})
 }
+
+// dependency is what all share, as a test has it: each call takes as long as it says.
+func (r *rig) dependency(calls int, took time.Duration) {
+	r.t.Helper()
+	for i := range calls {
+		id := uint32(10000 + i)
+		r.at(ms, ask(id, 1))
+		r.at(ms, Awaiting{id})
+		r.at(ms, Replied{ID: id, Took: took, Outcome: OK})
+		r.at(ms, Completed{ID: id, Took: took, Outcome: OK})
+	}
+}
+
+func TestCrowdedDependencyGetsFewerCalls(t *testing.T) {
+	inHand := func(r *rig) (n int) {
+		var events []Event
+		for id := uint32(1); id <= 8; id++ {
+			r.at(0, ask(id, 1))
+			events = append(events, Awaiting{id})
+		}
+		return count[Call](r.at(ms, events...))
+	}
+	site := func(s *Settings) { callSite(s); s.Below, s.CallShare, s.Cores = BelowShared, 6, 8 }
+	for _, tt := range []struct {
+		name  string
+		slow  int
+		quick int
+		want  int
+	}{{"the share at first", 0, 0, 6}, {"fewer where calls take long", 12, 0, 3}, {"never none", 100, 0, 1},
+		{"more again, at most the share", 100, 100, 6}} {
+		r := newRig(t, site)
+		r.dependency(tt.slow, 300*ms)
+		r.dependency(tt.quick, 20*ms)
+		if got := inHand(r); got != tt.want {
+			t.Errorf("%s: %d calls in hand, want %d", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestLateIsRefusedWhileCallsQueue(t *testing.T) {
+	for _, share := range []float64{1, 6} {
+		r := newRig(t, func(s *Settings) { callSite(s); s.Below, s.CallShare, s.Cores = BelowShared, share, 8 })
+		for i := range r.c.service {
+			r.c.service[i] = 2 // what is begun now is late
+		}
+		var events []Event
+		for id := uint32(1); id <= 4; id++ {
+			r.want(r.at(0, ask(id, 1)), Take{id}) // idle: it takes late ones, to learn
+			events = append(events, Awaiting{id})
+		}
+		r.at(ms, events...)
+		got := r.at(ms, ask(9, 1))
+		if share == 1 && count[Refuse](got) != 1 || share == 6 && count[Take](got) != 1 {
+			t.Errorf("share %v, three wait for one call: %#v", share, got)
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -73,6 +73,7 @@
 	usage   []float64 // parts of the arrivals, by tenant, lately
 
 	lingering []time.Duration // ends of abandoned calls that may still be in hand
+	calls     float64         // bound on calls in hand, with a share of one and more
 	callTime  float64         // seconds in hand saved up, with a share below one
 	draining  bool
 	drainedAt time.Duration
