Scheduled backups: a node waits for its own note before it looks when the next is due

The note of the first is written at the leader; the look that follows was allowed to be a second old, so a follower that had not applied the note yet took another one. Now the look is linearizable, once a second.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -147,9 +147,10 @@
 	}
 }
 
-// wait is how long until the next one, as all nodes know it.
+// wait is how long until the next one, as all nodes know it. The note of the last one must
+// be among what is read: this node may have written it just now.
 func (b *backups) wait(ctx context.Context) (time.Duration, error) {
-	if _, err := b.store.Fresh(ctx, store.Freshness{Stale: lookEvery}); err != nil {
+	if _, err := b.store.Fresh(ctx, store.Freshness{}); err != nil {
 		return 0, err
 	}
 	var last Last
--- a/tests/leases_test.go
+++ b/tests/leases_test.go
@@ -311,6 +311,13 @@
 	c.Put(0, "note/1", "1")
 	await(t, "the store of record", func() bool { return recorded("note/1") })
 	await(t, "three backups", func() bool { return len(files()) >= 3 })
+	var at0, at1 int64
+	for _, name := range files() {
+		_, err := fmt.Sscanf(name, "oxbowbridge-%d-", &at1)
+		require.NoError(t, err)
+		assert.GreaterOrEqual(t, at1-at0, int64(999), "two in one period: %s", name)
+		at0 = at1
+	}
 	at, token := holder("fleet/mirror")
 	// It stands still, and another one goes on. Not in a transaction of SQLite, whose lock would
 	// stand still with it (TestRecordIsLocked): it gets none while this one is open.
