Max-Wait-Ms and Project are read where settings pass deadlines and have tenants

With tenants a request says HTTP_PROJECT, a tenant's name; it was not read either, so no share of a tenant was ever seen.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -120,6 +120,7 @@
 	gauges  rules.Gauges
 	gauged  time.Duration // when they came
 	idle    time.Duration // how long connections may stay unused
+	tenants map[string]int
 	last    time.Duration // the last call of Handle
 
 	draining bool
@@ -170,8 +171,12 @@
 			set.KeyKB = max(set.KeyKB, set.MemoryKB/float64(max(1, p.KeysMost/dedup.EntryMost)))
 		}
 	}
+	tenants := map[string]int{}
+	for i, t := range p.Settings.Tenants {
+		tenants[t.Name] = i
+	}
 	return &Core{Parts: p, set: set, fresh: set.Fresh, byID: map[uint32]*request{}, byTrace: map[string]*request{},
-		spent: map[string]struct{}{}, keys: dedup.New(p.KeysMost), gauges: p.Settings.Gauges(nil), idle: set.IdleMax}, nil
+		spent: map[string]struct{}{}, keys: dedup.New(p.KeysMost), gauges: p.Settings.Gauges(nil), idle: set.IdleMax, tenants: tenants}, nil
 }
 
 // Run turns until the service has drained.
@@ -240,6 +245,9 @@
 	for i, e := range c.events {
 		if a, ok := e.(rules.Arrive); ok {
 			a.Waited = max(0, now-a.Waited) // noted as the time of arrival
+			if a.TimeLeft != 0 {
+				a.TimeLeft = max(1, a.TimeLeft-now) // noted as the time at which it ends; 0 would be none
+			}
 			c.events[i] = a
 		}
 	}
@@ -300,8 +308,11 @@
 		return
 	}
 	c.byID[r.id], c.byTrace[r.Trace] = r, r
-	a := rules.Arrive{ID: r.id, Class: q.Class, Hint: q.Hint, Waited: r.arrived, HeldKB: q.HeldKB,
+	a := rules.Arrive{ID: r.id, Class: q.Class, Tenant: c.tenants[q.Tenant], Hint: q.Hint, Waited: r.arrived, HeldKB: q.HeldKB,
 		Keyed: q.Keyed, Repeat: q.Repeat, Place: q.Place}
+	if c.Settings.Info.PassesWait && q.Wait > 0 { // else its class's deadline counts
+		a.TimeLeft = r.arrived + q.Wait
+	}
 	if r.other != nil {
 		a.DupOf = r.other.Owner
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -14,7 +14,9 @@
 type Request struct {
 	Trace   string // names this try on all wires
 	Class   int
-	Arrived time.Time // at the machine
+	Arrived time.Time     // at the machine
+	Wait    time.Duration // of its caller, since Arrived; 0 if it isn't told
+	Tenant  string        // "" if it isn't told
 	Hint    time.Duration
 	HeldKB  float64
 	Place   float64
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -75,7 +75,7 @@
 		return nil, fmt.Errorf("method %q: want POST", f.Method)
 	}
 	r := &exchange.Request{Trace: f.Get("Trace-Id"), Class: class.Index, Arrived: now,
-		Keyed: f.Get("Lookup-Key") != "", Repeat: f.Get("Is-Retry") == "1"}
+		Tenant: f.Get("Project"), Keyed: f.Get("Lookup-Key") != "", Repeat: f.Get("Is-Retry") == "1"}
 	if !exchange.IsTrace(r.Trace) {
 		return nil, fmt.Errorf("Trace-Id %q: want 16 hex digits", r.Trace)
 	}
@@ -111,8 +111,8 @@
 		needed bool
 		set    func(float64)
 	}{
-		{"Expected-Ms", func(x float64) bool { return x <= 1e6 }, false,
-			func(x float64) { r.Hint = time.Duration(x * float64(time.Millisecond)) }},
+		{"Expected-Ms", func(x float64) bool { return x <= 1e6 }, false, func(x float64) { r.Hint = ofMs(x) }},
+		{"Max-Wait-Ms", func(x float64) bool { return x <= 1e9 }, false, func(x float64) { r.Wait = ofMs(x) }},
 		{"Reserve-Kb", func(x float64) bool { return x > 0 && x < 2000 }, true, func(x float64) { r.HeldKB = x }},
 		{"Standing", func(x float64) bool { return x < 1 }, false, func(x float64) { r.Place = x }},
 	} {
@@ -130,6 +130,8 @@
 	return r, nil
 }
 
+func ofMs(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
+
 // Reply is an answer in the words of HTTP, which all fronts speak.
 type Reply struct {
 	Status  int
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -51,6 +51,7 @@
 		Linger     time.Duration `json:"linger_ns"`
 		MemoryKB   float64       `json:"memory_kb"`
 		OwnStats   []string      `json:"own_stats"`
+		PassesWait bool          `json:"passes_deadline"`
 		Readiness  bool          `json:"readiness"`
 		RunFactor  float64       `json:"run_factor"`
 		ShareFor   time.Duration `json:"share_for_ns"`
@@ -67,6 +68,7 @@
 	} `json:"safety"`
 	Servers int `json:"servers"`
 	Tenants []struct {
+		Name      string  `json:"name"`
 		Allowance float64 `json:"allowance_per_s"`
 	} `json:"tenants"`
 	Tick time.Duration `json:"tick_ns"`
--- a/tests/settings_test.go
+++ b/tests/settings_test.go
@@ -1,6 +1,7 @@
 package tests
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,7 +46,7 @@
 			})
 			for _, class := range classNames {
 				fields := fieldsOf(newTrace())
-				fields["Replay-Key"] = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+				fields["Replay-Key"], fields["Project"], fields["Max-Wait-Ms"] = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211", "a", "9000"
 				a, err := w.fcgiDo("/call/"+class, fields, "call")
 				require.NoError(t, err)
 				assert.Equal(t, 200, a.status, class)
@@ -67,6 +68,60 @@
 	}
 }
 
+// TestMaxWait: where the settings say that requests tell how long their callers wait, one is
+// answered by then, in either protocol; elsewhere its class's deadline counts.
+func TestMaxWait(t *testing.T) {
+	t.Parallel()
+	for name, dial := range protocols {
+		for _, passes := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, passes), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(t, func(cfg object) {
+					set := cfg["settings"].(object)
+					set["family_info"].(object)["passes_deadline"] = passes
+					for _, k := range set["classes"].([]object) {
+						k["deadline_ns"] = int64(10 * time.Minute)
+					}
+				})
+				send := func(wait, body string) <-chan answer {
+					c, err := dial(w.service, 0)
+					require.NoError(t, err)
+					t.Cleanup(func() { c.Close() })
+					fields := fieldsOf(newTrace())
+					fields["Max-Wait-Ms"] = wait
+					got := make(chan answer, 1)
+					go func() {
+						a, _ := c.do("/call/nom-submit", fields, []byte(body))
+						got <- a
+					}()
+					return got
+				}
+				answered := func(got <-chan answer) int {
+					select {
+					case a := <-got:
+						return a.status
+					case <-time.After(patience):
+						return 0
+					}
+				}
+				for _, bad := range []string{"-5", "soon", "1e3"} {
+					assert.Equal(t, 400, answered(send(bad, "ok")), bad)
+				}
+				assert.Equal(t, 200, answered(send("0", "ok")), "as if it said nothing")
+				if passes {
+					assert.Equal(t, 500, answered(send("400", "hold")), "its run goes on or was stopped: failed")
+					assert.Equal(t, 503, answered(send("1", "hold")), "over before it was read: it never ran")
+					return
+				}
+				got := send("1", "hold")
+				await(t, "the run", func() bool { return w.engine.held() == 1 })
+				w.engine.release()
+				assert.Equal(t, 200, answered(got))
+			})
+		}
+	}
+}
+
 // TestSettingsRefused: what the page does not allow ends the start with 2 and one line.
 func TestSettingsRefused(t *testing.T) {
 	t.Parallel()
