A notice is heard while the file is read again: SIGHUP is followed beside it

The program that had been sent SIGTERM and SIGHUP before it had read its file was still there, listening, with one thread in open() of the file, a FIFO that nobody wrote any more (wchan wait_for_partner).

Cause: serve.go waited for both signals in one goroutine. With both pending select takes either; taken first, the SIGHUP read the file there and then, and until a file can be read (a FIFO here, a file system that stands still elsewhere) no notice was heard: SIGKILL would have come over all that was read. It passed before as the notice was mostly first.

Now files are read in a goroutine of their own, and the notice is waited for in another; what is in force passes between them atomically.

--- a/cmd/oxbowbridge/serve.go
+++ b/cmd/oxbowbridge/serve.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -69,22 +70,24 @@
 	}
 	kept.say("open")
 	worker := openWorker(notice, cfg, kept, s, log)
+	var current atomic.Pointer[config]
+	current.Store(cfg)
+	// Beside the wait for the notice, which a file that can't be read for a while must not
+	// hold up; also while it drains, as what is in hand may need the new addresses.
 	go func() {
-		leave, done := worker.leaves, notice.Done()
-		for {
-			select {
-			case <-hangup: // also while it drains: what is in hand may need the new addresses
-				cfg = s.reload(cfg, env)
-				continue
-			case <-done:
-			case <-leave:
-			}
-			leave, done = nil, nil // the first notice counts
-			kept.say("draining")
-			stop := time.Duration(cfg.StopMS)*time.Millisecond - kept.closing()
-			s.x.Post(exchange.Step(func() { s.core.Drain(stop) }))
+		for range hangup {
+			current.Store(s.reload(current.Load(), env))
 		}
 	}()
+	go func() {
+		select { // the first notice counts
+		case <-notice.Done():
+		case <-worker.leaves:
+		}
+		kept.say("draining")
+		stop := time.Duration(current.Load().StopMS)*time.Millisecond - kept.closing()
+		s.x.Post(exchange.Step(func() { s.core.Drain(stop) }))
+	}()
 	s.core.Run()
 	return worker.out(notice)
 }
--- a/tests/endings_test.go
+++ b/tests/endings_test.go
@@ -276,6 +276,22 @@
 	w.ended()
 }
 
+// TestNoticeDuringReload: the notice comes while the program reads its file again, and the
+// file doesn't come to its end. It is told to leave all the same.
+func TestNoticeDuringReload(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	require.NoError(t, os.Remove(w.path))
+	require.NoError(t, syscall.Mkfifo(w.path, 0o600))
+	require.NoError(t, w.Signal(syscall.SIGHUP))
+	file, err := os.OpenFile(w.path, os.O_WRONLY, 0) // opens once the program reads
+	require.NoError(t, err)
+	defer file.Close()
+	require.NoError(t, w.Signal(syscall.SIGTERM))
+	w.ended()
+	assert.Contains(t, w.log(), `"msg":"drained"`)
+}
+
 // TestReadyOnceItServes: health checks are bad until the engine is there, whatever comes.
 func TestReadyOnceItServes(t *testing.T) {
 	t.Parallel()
