--- a/tests/endings_test.go
+++ b/tests/endings_test.go
@@ -252,7 +252,14 @@
 	cfg["engine"] = newEngine(t).addr
 	require.NoError(t, json.NewEncoder(file).Encode(cfg))
 	require.NoError(t, file.Close())
-	assert.NoError(t, early.Wait(), "told to leave before it had read its file")
+	exit := make(chan error, 1)
+	go func() { exit <- early.Wait() }()
+	select {
+	case err := <-exit:
+		assert.NoError(t, err, "told to leave before it had read its file")
+	case <-time.After(patience):
+		t.Fatal("told to leave before it had read its file, and still there")
+	}
 
 	old, trace := w.records, newTrace()
 	got := w.later("nom-submit", trace, "hold")
