--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -310,7 +310,7 @@
 	c.byID[r.id], c.byTrace[r.Trace] = r, r
 	a := rules.Arrive{ID: r.id, Class: q.Class, Tenant: c.tenants[q.Tenant], Hint: q.Hint, Waited: r.arrived, HeldKB: q.HeldKB,
 		Keyed: q.Keyed, Repeat: q.Repeat, Place: q.Place}
-	if c.Settings.Info.PassesWait && q.Wait > 0 { // else its class's deadline counts
+	if c.Settings.Info.PassesDeadline && q.Wait > 0 { // else its class's deadline counts
 		a.TimeLeft = r.arrived + q.Wait
 	}
 	if r.other != nil {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -34,28 +34,28 @@
 	} `json:"clients"`
 	CountedBy string `json:"counted_by"`
 	Info      struct {
-		Advert     string        `json:"advert"`
-		Below      string        `json:"below"`
-		Callers    int           `json:"callers"`
-		CallsOut   float64       `json:"calls_out"`
-		ClassCalls []bool        `json:"class_calls"`
-		SkipWorth  []float64     `json:"class_skip_worth"`
-		Cores      int           `json:"cores"`
-		DeepChecks bool          `json:"deep_checks"`
-		DepWindow  time.Duration `json:"dep_window_ns"`
-		Fresh      bool          `json:"fresh_start"`
-		Halt       string        `json:"halt"`
-		HeardFor   time.Duration `json:"heard_for_ns"`
-		Idle       time.Duration `json:"idle_ns"`
-		KeyKB      float64       `json:"kb_per_key"`
-		Linger     time.Duration `json:"linger_ns"`
-		MemoryKB   float64       `json:"memory_kb"`
-		OwnStats   []string      `json:"own_stats"`
-		PassesWait bool          `json:"passes_deadline"`
-		Readiness  bool          `json:"readiness"`
-		RunFactor  float64       `json:"run_factor"`
-		ShareFor   time.Duration `json:"share_for_ns"`
-		TellsGone  bool          `json:"tells_gone"`
+		Advert         string        `json:"advert"`
+		Below          string        `json:"below"`
+		Callers        int           `json:"callers"`
+		CallsOut       float64       `json:"calls_out"`
+		ClassCalls     []bool        `json:"class_calls"`
+		SkipWorth      []float64     `json:"class_skip_worth"`
+		Cores          int           `json:"cores"`
+		DeepChecks     bool          `json:"deep_checks"`
+		DepWindow      time.Duration `json:"dep_window_ns"`
+		Fresh          bool          `json:"fresh_start"`
+		Halt           string        `json:"halt"`
+		HeardFor       time.Duration `json:"heard_for_ns"`
+		Idle           time.Duration `json:"idle_ns"`
+		KeyKB          float64       `json:"kb_per_key"`
+		Linger         time.Duration `json:"linger_ns"`
+		MemoryKB       float64       `json:"memory_kb"`
+		OwnStats       []string      `json:"own_stats"`
+		PassesDeadline bool          `json:"passes_deadline"`
+		Readiness      bool          `json:"readiness"`
+		RunFactor      float64       `json:"run_factor"`
+		ShareFor       time.Duration `json:"share_for_ns"`
+		TellsGone      bool          `json:"tells_gone"`
 	} `json:"family_info"`
 	OverShareWorth float64 `json:"over_share_worth"`
 	Safety         struct {
