A log that nobody reads neither ends the service nor holds it up

A pipe whose reader stands still blocks that write, and with it every answer; a reader that goes away ends the process by SIGPIPE, as the Go runtime does for descriptors 1 and 2. Both were forced on the text before: with a pipe of one page the service hung (TestLogNobodyReads/stands, timeout after 20 s), with a closed one it died (TestLogNobodyReads/leaves, EOF on all connections). Excluded: the sampler, which bounds lines a second and not the time that a write takes.

--- a/cmd/oxbowbridge/main.go
+++ b/cmd/oxbowbridge/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/spf13/cobra"
 )
@@ -26,10 +27,26 @@
 	case errors.Is(err, errConfig):
 		code = codeBadCall
 	}
-	fmt.Fprintln(os.Stderr, "oxbowbridge:", err)
+	printError(err)
 	os.Exit(code)
 }
 
+// printMost is how long the last line may take to be written. A reader of standard error
+// that stands still must not keep the process from ending.
+const printMost = 100 * time.Millisecond
+
+func printError(err error) {
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		fmt.Fprintln(os.Stderr, "oxbowbridge:", err)
+	}()
+	select {
+	case <-written:
+	case <-time.After(printMost):
+	}
+}
+
 const (
 	codeFailed  = 1
 	codeBadCall = 2
--- a/cmd/oxbowbridge/serve.go
+++ b/cmd/oxbowbridge/serve.go
@@ -25,6 +25,7 @@
 	"oxbowbridge/internal/fastcgi"
 	"oxbowbridge/internal/front"
 	"oxbowbridge/internal/link"
+	"oxbowbridge/internal/logsink"
 	"oxbowbridge/internal/records"
 	"oxbowbridge/internal/socket"
 )
@@ -50,6 +51,8 @@
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	notice, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	// Without this the Go runtime ends the process when whoever reads its log goes away.
+	signal.Ignore(syscall.SIGPIPE)
 	cfg, err := readConfig(env)
 	if err != nil {
 		return fmt.Errorf("%w: %w", errConfig, err)
@@ -224,7 +227,7 @@
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.ISO8601TimeEncoder
 	enc.EncodeDuration = zapcore.StringDurationEncoder
-	lines := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stderr), level)
+	lines := zapcore.NewCore(zapcore.NewJSONEncoder(enc), logsink.New(os.Stderr), level)
 	// Guards the log, and the core that writes it, against callers that fail by the thousand.
 	return zap.New(zapcore.NewSamplerWithOptions(lines, time.Second, linesMost, linesThen))
 }
--- /dev/null
+++ b/tests/log_test.go
@@ -0,0 +1,51 @@
+package tests
+
+import (
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// badRequests makes the service write more log lines than a pipe of one page holds.
+func badRequests(t *testing.T, w *world) {
+	for range 3 {
+		c, err := dialFCGI(w.fcgi)
+		require.NoError(t, err)
+		for range 12 { // one connection may send 16 faults
+			a, err := c.do("/call/other", fieldsOf(newTrace()), nil)
+			require.NoError(t, err)
+			assert.Equal(t, 400, a.status)
+		}
+		c.Close()
+	}
+}
+
+// TestLogNobodyReads: a reader of the log that stands still, or goes away, keeps the
+// service neither from answering nor from ending in time.
+func TestLogNobodyReads(t *testing.T) {
+	t.Parallel()
+	for name, leaves := range map[string]bool{"stands": false, "leaves": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			reader, writer, err := os.Pipe()
+			require.NoError(t, err)
+			defer reader.Close()
+			_, err = unix.FcntlInt(writer.Fd(), unix.F_SETPIPE_SZ, os.Getpagesize())
+			require.NoError(t, err)
+			w := newWorldWith(t, writer, nil)
+			writer.Close()
+			if leaves {
+				reader.Close()
+			}
+			badRequests(t, w)
+			assert.Equal(t, 200, w.status("nom-submit", "ok"))
+			require.NoError(t, w.Signal(syscall.SIGHUP))
+			assert.Equal(t, 200, w.status("nom-submit", "call"))
+			w.drain()
+		})
+	}
+}
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -160,6 +160,11 @@
 
 // startBuild runs another build of the program.
 func startBuild(t *testing.T, build string, change func(object)) *service {
+	return startLogging(t, build, nil, change)
+}
+
+// startLogging runs a build with its log going to a file or pipe in place of the buffer.
+func startLogging(t *testing.T, build string, log *os.File, change func(object)) *service {
 	s := &service{t: t, program: build, fcgi: freePort(t), ajp: freePort(t), exit: make(chan error, 1), gone: make(chan struct{})}
 	cfg := object{"name": "n3", "listen": s.fcgi, "seed": "8c1f30d27a5be964", "stop_ms": 4000,
 		"limits":   object{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -172,6 +177,9 @@
 	s.cmd = exec.Command(cmp.Or(s.program, program))
 	s.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+s.path, "BALANCER_NAME="+name)
 	s.cmd.Stderr = s
+	if log != nil {
+		s.cmd.Stderr = log
+	}
 	require.NoError(t, s.cmd.Start())
 	go func() { s.exit <- s.cmd.Wait(); close(s.gone) }()
 	t.Cleanup(func() {
@@ -227,9 +235,12 @@
 	records *records
 }
 
-func newWorld(t *testing.T, change func(object)) *world {
+func newWorld(t *testing.T, change func(object)) *world { return newWorldWith(t, nil, change) }
+
+// newWorldWith is newWorld with the service's log going to a file or pipe.
+func newWorldWith(t *testing.T, log *os.File, change func(object)) *world {
 	w := &world{engine: newEngine(t), records: newRecords(t)}
-	w.service = start(t, func(cfg object) {
+	w.service = startLogging(t, "", log, func(cfg object) {
 		cfg["engine"], cfg["records"] = w.engine.addr, w.records.addr
 		if change != nil {
 			change(cfg)
