A closing listener takes what has come and no more, and never holds up the core

Cause: Listener.Close took connections until the queue was empty (socket.go, takeQueued). Callers that connect as fast as they are taken never let it be: forced by a test in which each connection taken brings the next (300 taken of 3 that had come). It ran in the core's goroutine, so that a drain under such a flood would have answered nothing until SIGKILL. An interrupted accept or one aborted connection passed for an empty queue, and those behind it were reset.

Also found by reading, each with a test that forces it: - Conn.Abandon before nbio had the connection closed its descriptor, whose number nbio then registered, by then perhaps another's (TestAbandonBeforeAdded). - connections that had ended less than 100 ms before were bounded by nothing: a storm of ends could use up all descriptors (TestEndIsBounded: twice the wanted number is the bound now). - a full table asked the system about each silent connection, for each one that came; it asks about one now.

Change: Close takes as many as the kernel says are queued (TCP_INFO); StopListening does not wait for it, and CloseIdle counts it as left; one connection at a time has two descriptors while nbio takes it over.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -340,6 +340,8 @@
 	ln    net.Listener
 	most  int
 	log   *zap.Logger
+
+	closing bool // the listener is, and still takes what has come
 }
 
 // Listen opens the listener. Connections beyond so many take the place of others,
@@ -373,28 +375,19 @@
 // Half a message is given up only where nothing else is. Guards balancers against
 // callers that connect by the hundred, or keep what they use no more.
 func (s *Conns) makeRoom() bool {
-	now := time.Now()
-	var silent, half, rest []Conn
-	for c := range s.conns {
-		switch {
-		case !c.Silent():
-			rest = append(rest, c)
-		case c.Half():
-			half = append(half, c)
-		default:
-			silent = append(silent, c)
-		}
+	silent, rest := s.byUse()
+	// The system is asked about as few connections as possible: callers that connect
+	// without end have this done for each connection.
+	victim := slices.IndexFunc(silent, func(c Conn) bool { return !c.Half() })
+	if victim < 0 && len(silent) > 0 {
+		victim = 0
+	}
+	if victim >= 0 {
+		silent[victim].Finish()
+		delete(s.conns, silent[victim])
+		return true
 	}
-	longest := func(a, b Conn) int { return a.LastUsed().Compare(b.LastUsed()) }
-	for _, from := range [][]Conn{silent, half} {
-		if len(from) > 0 {
-			c := slices.MinFunc(from, longest)
-			c.Finish()
-			delete(s.conns, c)
-			return true
-		}
-	}
-	slices.SortFunc(rest, longest)
+	now := time.Now()
 	for _, c := range rest {
 		if c.CloseIdle(now, 0) {
 			delete(s.conns, c)
@@ -404,6 +397,24 @@
 	return false
 }
 
+// byUse lists the connections that have said nothing whole yet, and the others, those
+// used longest ago first.
+func (s *Conns) byUse() (silent, rest []Conn) {
+	lastUsed := make(map[Conn]time.Time, len(s.conns))
+	for c := range s.conns {
+		lastUsed[c] = c.LastUsed()
+		if c.Silent() {
+			silent = append(silent, c)
+		} else {
+			rest = append(rest, c)
+		}
+	}
+	longest := func(a, b Conn) int { return lastUsed[a].Compare(lastUsed[b]) }
+	slices.SortFunc(silent, longest)
+	slices.SortFunc(rest, longest)
+	return silent, rest
+}
+
 // Sweep ends the connections of callers that owe their next step for too long,
 // and closes those that have been idle for so long.
 func (s *Conns) Sweep(idle time.Duration) {
@@ -445,13 +456,28 @@
 	s.mu.Unlock()
 }
 
-// StopListening takes no more connections.
-func (s *Conns) StopListening() { s.ln.Close() }
+// StopListening takes what has come by now, and no more connections. It does not wait for
+// that: until it is done CloseIdle counts the listener as left.
+func (s *Conns) StopListening() {
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	go func() {
+		s.ln.Close()
+		s.mu.Lock()
+		s.closing = false
+		s.mu.Unlock()
+	}()
+}
 
-// CloseIdle closes connections that have had no open request for so long.
+// CloseIdle closes connections that have had no open request for so long, and tells how
+// many are left, with a listener that is still closing, and how many bytes wait to leave.
 func (s *Conns) CloseIdle(idle time.Duration) (left, unsent int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closing {
+		left++
+	}
 	now := time.Now()
 	for c := range s.conns {
 		unsent += c.Pending()
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -26,6 +26,12 @@
 	// What crosses the end of a connection within 50 ms is sent again: for twice as long
 	// no bound on connections closes it over what may still come.
 	lingerLeast = 100 * time.Millisecond
+	// lingerBound times the wanted number of ended connections are never exceeded, however
+	// short the time since their ends: descriptors that are kept for links must stay free.
+	lingerBound = 2
+	// queueMost is how many connections a closing listener takes from the system's queue if
+	// the system does not tell how many there are.
+	queueMost = 128
 )
 
 // Handler gets what happens on one connection. Data and Closed are called from
@@ -44,6 +50,7 @@
 	mu      sync.Mutex
 	pending int       // bytes that wait to leave
 	added   bool      // the loop has it
+	gone    bool      // Abandon was called
 	ending  bool      // nothing more is written
 	half    bool      // the peer was told
 	ended   time.Time // when End was called
@@ -119,8 +126,18 @@
 	}
 }
 
-// Abandon closes the connection at once: for peers to which nothing is owed.
-func (c *Conn) Abandon() { c.nb.Close() }
+// Abandon closes the connection at once: for peers to which nothing is owed. nbio would
+// register a descriptor that is closed already, and by then perhaps another connection's:
+// before the loop has the connection it is only marked, and add closes it.
+func (c *Conn) Abandon() {
+	c.mu.Lock()
+	c.gone = true
+	added := c.added
+	c.mu.Unlock()
+	if added {
+		c.nb.Close()
+	}
+}
 
 // data passes on what came, unless the connection has ended.
 func (c *Conn) data(b []byte) {
@@ -165,11 +182,12 @@
 	engine    *nbio.Engine
 	mu        sync.Mutex // orders the making of a Conn before its first use
 	lingering []*Conn    // that have ended and are not closed, the oldest first
-	most      int        // of them
+	most      int        // of them, but for those that ended just now
+	handing   sync.Mutex // one connection at a time has two descriptors, while nbio takes it over
 }
 
-// linger notes a connection that ends. Beyond the bound the oldest are closed: each
-// holds a descriptor.
+// linger notes a connection that ends. Beyond the bound the oldest are closed, as each
+// holds a descriptor; those that ended just now only beyond lingerBound times as many.
 func (l *Loop) linger(c *Conn) {
 	now := time.Now()
 	c.mu.Lock()
@@ -178,7 +196,11 @@
 	l.mu.Lock()
 	l.lingering = append(l.lingering, c)
 	n := 0
-	for len(l.lingering)-n > l.most && now.Sub(l.lingering[n].ended) >= lingerLeast {
+	for left := len(l.lingering); left > l.most; left-- {
+		recent := now.Sub(l.lingering[n].ended) < lingerLeast
+		if recent && left <= lingerBound*l.most {
+			break
+		}
 		n++
 	}
 	old := slices.Clone(l.lingering[:n])
@@ -225,7 +247,8 @@
 	return c, ok
 }
 
-// New starts a loop, in which so many connections may be at their end at a time.
+// New starts a loop in which so many connections may be at their end at a time, and
+// lingerBound times as many for less than lingerLeast.
 func New(lingering int) (*Loop, error) {
 	logging.SetLevel(logging.LevelNone)
 	e := nbio.NewEngine(nbio.Config{Name: "loop", NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: writeMost,
@@ -255,7 +278,9 @@
 }
 
 func (l *Loop) add(raw net.Conn, handle func(*Conn) Handler) (*Conn, error) {
+	l.handing.Lock()
 	nb, err := nbio.NBConn(raw)
+	l.handing.Unlock()
 	if err != nil {
 		raw.Close()
 		return nil, fmt.Errorf("hand over connection: %w", err)
@@ -275,7 +300,11 @@
 	}
 	c.mu.Lock()
 	c.added = true
+	gone := c.gone
 	c.mu.Unlock()
+	if gone {
+		c.nb.Close()
+	}
 	c.finish() // its handler may have ended it
 	return c, nil
 }
@@ -287,8 +316,9 @@
 	done chan struct{} // closed once nothing is taken any more
 }
 
-// Close takes what the system has accepted by now, and no more. Connections that were
-// left in the system's queue would be reset under the requests on them.
+// Close takes what the system has accepted by now, and no more: callers that go on
+// connecting can't keep it from returning. Connections that were left in the system's
+// queue would be reset under the requests on them.
 func (l *Listener) Close() error {
 	if tcp, ok := l.Listener.(*net.TCPListener); ok {
 		if raw, err := tcp.SyscallConn(); err == nil {
@@ -301,20 +331,37 @@
 }
 
 func takeQueued(listener int, take func(net.Conn)) {
-	for {
+	for range queued(listener) {
 		fd, _, err := syscall.Accept4(listener, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-		if err != nil {
-			return // the queue is empty
-		}
-		f := os.NewFile(uintptr(fd), "accepted")
-		c, err := net.FileConn(f)
-		f.Close()
-		if err == nil {
-			take(c)
+		switch err {
+		case nil:
+			if c, err := fileConn(fd); err == nil {
+				take(c)
+			}
+		case syscall.EINTR, syscall.ECONNABORTED: // says nothing of those behind it
+		default:
+			return // the queue is empty, or descriptors have run out
 		}
 	}
 }
 
+// queued is how many connections wait in a listener's queue: what the kernel reports as
+// unacknowledged for a socket that listens (tcp_info in tcp(7)).
+func queued(listener int) int {
+	info, err := unix.GetsockoptTCPInfo(listener, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return queueMost
+	}
+	return int(info.Unacked)
+}
+
+// fileConn makes a net.Conn of a descriptor, which it takes over.
+func fileConn(fd int) (net.Conn, error) {
+	f := os.NewFile(uintptr(fd), "accepted")
+	defer f.Close()
+	return net.FileConn(f)
+}
+
 // Listen accepts connections on the address until the listener is closed.
 func (l *Loop) Listen(addr string, handle func(*Conn) Handler, failed func(error)) (*Listener, error) {
 	ln, err := net.Listen("tcp", addr)
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // TestCloseTakesQueue: connections that the system accepted before the listener
@@ -40,6 +41,64 @@
 	}
 }
 
+// TestCloseUnderFlood: a queue that never empties, since each connection taken brings the
+// next one, does not keep the listener from closing.
+func TestCloseUnderFlood(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0") // nobody accepts
+	require.NoError(t, err)
+	done := make(chan struct{})
+	close(done)
+	const waiting = 3
+	connect := func() {
+		c, err := net.Dial("tcp", raw.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+	}
+	taken := 0
+	ln := &Listener{Listener: raw, done: done, take: func(c net.Conn) {
+		c.Close()
+		if taken++; taken < 100*waiting { // without end, but for the test's own
+			connect()
+		}
+	}}
+	for range waiting {
+		connect()
+	}
+	require.NoError(t, ln.Close())
+	require.Equal(t, waiting, taken, "what had come when it was closed")
+}
+
+// TestAbandonBeforeAdded: a connection that is given up before the loop has it is closed
+// once the loop does. nbio must not register the number of a closed descriptor, which may
+// be another connection's by then.
+func TestAbandonBeforeAdded(t *testing.T) {
+	loop, err := New(4)
+	require.NoError(t, err)
+	defer loop.Stop()
+	closed := make(chan error, 1)
+	descriptor := make(chan int, 1)
+	ln, err := loop.Listen("127.0.0.1:0", func(c *Conn) Handler {
+		c.Abandon()
+		_, err := unix.FcntlInt(uintptr(c.nb.Hash()), unix.F_GETFD, 0)
+		if err != nil {
+			descriptor <- -1
+		} else {
+			descriptor <- c.nb.Hash()
+		}
+		return &peer{closed: closed}
+	}, func(err error) { t.Error(err) })
+	require.NoError(t, err)
+	defer ln.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	require.Positive(t, <-descriptor, "closed before nbio knew the connection")
+	<-closed
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(20*time.Second)))
+	_, err = c.Read(make([]byte, 1))
+	require.Equal(t, io.EOF, err)
+}
+
 // TestCloseWaitsForTheAccepted: a connection that was accepted while the listener
 // closes is handed over before Close returns, and counts as open from then on.
 func TestCloseWaitsForTheAccepted(t *testing.T) {
@@ -188,6 +247,13 @@
 	<-p.closed
 	require.Empty(t, p.data)
 
+	for range lingerBound*2 + 1 { // however short the time since their ends
+		p, _ := connect()
+		p.conn.End()
+	}
+	require.Equal(t, lingerBound*2, loop.Sweep(time.Now()))
+	require.Zero(t, loop.Sweep(time.Now().Add(lingerMost)))
+
 	var peers []*peer
 	for range 3 {
 		p, _ := connect()
