A start waits neither on a forgotten engine link nor on an address still in use

An address that a predecessor still held while it drained ended the start with 2 (serve.go, wireUp): 0 of 10. With a store whose other nodes are away each start waited 10 s (keeper.go, catchUp) before it listened.

Change: a link without HELLO gets another one beside it every 2 s, which replaces it as the protocol says; an address in use is tried again for stop_ms and 1 s, the most that a predecessor has, and then named with exit 2 as before; the wait for other nodes is 4 s. The operators' term is nine in ten within 10 s. A SIGTERM during the wait for an address ends the program with 0.

--- a/cmd/oxbowbridge/keeper.go
+++ b/cmd/oxbowbridge/keeper.go
@@ -24,8 +24,11 @@
 )
 
 const (
-	catchUp  = 10 * time.Second // a start waits so long for the other nodes
-	sayAgain = time.Second
+	// startWait is how long a start waits for the other nodes. Nine in ten restarted services
+	// have to be ready within 10 s, also when the store can't be reached.
+	startWait = 4 * time.Second
+	sayMost   = 10 * time.Second // that one write of what the service does may take
+	sayAgain  = time.Second
 )
 
 // keeper is the program's use of the store. Without one it does nothing.
@@ -58,7 +61,7 @@
 			k.setLevel(level, value)
 		}
 	})
-	first, cancel := context.WithTimeout(ctx, catchUp)
+	first, cancel := context.WithTimeout(ctx, startWait)
 	defer cancel()
 	if s.Caught(first) {
 		k.caughtUp(level)
@@ -162,7 +165,7 @@
 	for what := range k.says {
 		text, err := json.Marshal(map[string]any{"state": what, "since_ms": time.Now().UnixMilli()})
 		for err == nil {
-			ctx, cancel := context.WithTimeout(context.Background(), catchUp)
+			ctx, cancel := context.WithTimeout(context.Background(), sayMost)
 			err := k.store.Set(ctx, keyState+k.name, text)
 			cancel()
 			if err == nil || len(k.says) > 0 {
--- a/cmd/oxbowbridge/serve.go
+++ b/cmd/oxbowbridge/serve.go
@@ -39,6 +39,9 @@
 	lingerShare  = 16  // and half as many may be of connections that have ended and wait for their peers
 	linesMost    = 50  // of one message in a second, after which
 	linesThen    = 100 // only one of so many is written
+
+	listenAgain      = 50 * time.Millisecond // between two tries of an address that is in use
+	predecessorSlack = time.Second           // beyond stop_ms, for the end of a process that was killed
 )
 
 var errConfig = errors.New("configuration")
@@ -67,7 +70,10 @@
 		return err
 	}
 	defer kept.close()
-	s, err := wireUp(cfg, log)
+	s, err := wireUp(notice, cfg, log)
+	if notice.Err() != nil && errors.Is(err, syscall.EADDRINUSE) {
+		return nil // nothing was ever taken
+	}
 	if err != nil {
 		return err
 	}
@@ -119,8 +125,8 @@
 	return cfg
 }
 
-// wireUp makes the parts and connects them.
-func wireUp(cfg *config, log *zap.Logger) (*service, error) {
+// wireUp makes the parts and connects them. A notice ends its wait for an address.
+func wireUp(notice context.Context, cfg *config, log *zap.Logger) (*service, error) {
 	loop, err := socket.New(cfg.Limits.Sockets / lingerShare)
 	if err != nil {
 		return nil, err
@@ -152,7 +158,8 @@
 		return nil, fmt.Errorf("%w: settings: %w", errConfig, err)
 	}
 	for _, f := range fronts {
-		if err := f.front.Listen(loop, f.addr, cfg.Limits.Sockets*3/4/len(fronts)); err != nil {
+		wait := time.Duration(cfg.StopMS)*time.Millisecond + predecessorSlack
+		if err := f.listen(notice, loop, cfg.Limits.Sockets*3/4/len(fronts), wait, log); err != nil {
 			return nil, fmt.Errorf("%w: %s: %w", errConfig, f.field, err)
 		}
 		log.Info("listening", zap.String("front", f.field), zap.Stringer("address", f.front.Addr()))
@@ -212,6 +219,26 @@
 	addr  string
 }
 
+// listen opens the front's address. Another process that holds it may be this one's
+// predecessor, which is gone once its own stop_ms are over: until then it tries again.
+func (f listener) listen(notice context.Context, loop *socket.Loop, most int, wait time.Duration, log *zap.Logger) error {
+	deadline := time.Now().Add(wait)
+	for warned := false; ; warned = true {
+		err := f.front.Listen(loop, f.addr, most)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return err
+		}
+		if !warned {
+			log.Warn("address in use, trying again", zap.String("front", f.field), zap.String("address", f.addr), zap.Duration("for", wait))
+		}
+		select {
+		case <-notice.Done():
+			return err
+		case <-time.After(listenAgain):
+		}
+	}
+}
+
 func frontsOf(cfg *config, x *exchange.Exchange, classes map[string]front.Class, log *zap.Logger) []listener {
 	var fronts []listener
 	if cfg.Listen != "" {
--- a/cmd/oxbowbridge/try.go
+++ b/cmd/oxbowbridge/try.go
@@ -69,7 +69,7 @@
 	go (&toy.Engine{Cores: tryCores, Work: tryWork, Calls: []string{"nom-submit"}}).Serve(engine)
 	go (&toy.Records{Work: tryCall}).Serve(records)
 	cfg.Engine, cfg.Records = engine.Addr().String(), records.Addr().String()
-	s, err := wireUp(cfg, zap.NewNop())
+	s, err := wireUp(ctx, cfg, zap.NewNop())
 	if err != nil {
 		return err
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -24,6 +24,9 @@
 	syncTag    = "sync"
 	quietStep  = 250 * time.Millisecond // questions that are closer count as one
 	quietMost  = 20                     // of them without an answer: 5 s, after which a link counts as lost
+	// helloMost is how long a link waits for HELLO before another one is opened beside it. An
+	// engine that is not up yet sends none, but neither does one that has forgotten the link.
+	helloMost = 2 * time.Second
 	gaugeTag   = "gauges"
 )
 
@@ -102,6 +105,14 @@
 	}
 	l.conn, l.present, l.up, l.gap, l.quiet = c, n, false, false, 0
 	l.write(fmt.Sprintf("ATTACH %d", l.last), nil, false)
+	l.Due.At(l.Now()+helloMost, func() { l.attachAgain(n) })
+}
+
+// attachAgain opens another link if the given one is the latest and had no HELLO so far.
+func (l *Link) attachAgain(n int) {
+	if n == l.present && n == l.dialed && !l.up {
+		l.Open()
+	}
 }
 
 // lost connects once more if the link or the latest attempt at one has failed,
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -107,10 +107,14 @@
 	fcgi    string
 	ajp     string
 	exit    chan error
-	program string        // another build
-	gone    chan struct{} // closed after the end
-	cfg     object
-	path    string
+	program string // another build
+	name    string
+	logTo   *os.File // in place of the buffer
+
+	descriptors int           // the process's limit, 0 for that of the tests
+	gone        chan struct{} // closed after the end
+	cfg         object
+	path        string
 	logBuffer
 }
 
@@ -163,25 +167,25 @@
 	return startLogging(t, build, nil, change)
 }
 
+// testDescriptors is a field that a test may add to a configuration, and that the program
+// never sees: the limit on descriptors under which its process is started.
+const testDescriptors = "test_descriptors"
+
 // startLogging runs a build with its log going to a file or pipe in place of the buffer.
 func startLogging(t *testing.T, build string, log *os.File, change func(object)) *service {
-	s := &service{t: t, program: build, fcgi: freePort(t), ajp: freePort(t), exit: make(chan error, 1), gone: make(chan struct{})}
+	s := &service{t: t, program: build, fcgi: freePort(t), ajp: freePort(t)}
 	cfg := object{"name": "n3", "listen": s.fcgi, "seed": "8c1f30d27a5be964", "stop_ms": 4000,
 		"limits":   object{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"settings": settings(), "ajp": object{"listen": s.ajp, "secret": "s3"}}
 	change(cfg)
-	name := fmt.Sprint(cfg["name"])
+	s.name = fmt.Sprint(cfg["name"])
 	cfg["name"] = "in-the-file" // the environment's goes before it
 	s.cfg, s.path = cfg, filepath.Join(t.TempDir(), "config.json")
+	s.descriptors, _ = cfg[testDescriptors].(int)
+	delete(cfg, testDescriptors)
 	s.writeConfig()
-	s.cmd = exec.Command(cmp.Or(s.program, program))
-	s.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+s.path, "BALANCER_NAME="+name)
-	s.cmd.Stderr = s
-	if log != nil {
-		s.cmd.Stderr = log
-	}
-	require.NoError(t, s.cmd.Start())
-	go func() { s.exit <- s.cmd.Wait(); close(s.gone) }()
+	s.logTo = log
+	s.launch()
 	t.Cleanup(func() {
 		s.cmd.Process.Kill()
 		if t.Failed() {
@@ -191,6 +195,23 @@
 	return s
 }
 
+// launch starts the process, also once more after its end.
+func (s *service) launch() {
+	s.exit, s.gone = make(chan error, 1), make(chan struct{})
+	s.cmd = exec.Command(cmp.Or(s.program, program))
+	if s.descriptors > 0 {
+		s.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, s.descriptors), cmp.Or(s.program, program))
+	}
+	s.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+s.path, "BALANCER_NAME="+s.name)
+	s.cmd.Stderr = s
+	if s.logTo != nil {
+		s.cmd.Stderr = s.logTo
+	}
+	require.NoError(s.t, s.cmd.Start())
+	running, exit, gone := s.cmd, s.exit, s.gone
+	go func() { exit <- running.Wait(); close(gone) }()
+}
+
 // Signal sends one.
 func (s *service) Signal(sig os.Signal) error { return s.cmd.Process.Signal(sig) }
 
@@ -304,6 +325,7 @@
 	deaf    bool // reads commands and does nothing
 	blind   bool // answers no STAT
 	crosses bool // runs end well just before their HALT is read
+	forgets int  // so many of the next links are accepted and then forgotten
 	gauged  int  // STATs that it answered
 }
 
@@ -317,6 +339,12 @@
 func (e *engine) listen(t *testing.T) string {
 	return server(t, func(c net.Conn) {
 		e.mu.Lock()
+		if e.forgets > 0 {
+			e.forgets--
+			e.mu.Unlock()
+			t.Cleanup(func() { c.Close() })
+			return
+		}
 		e.conn = c
 		e.mu.Unlock()
 		linesOf(c, func(w []string) bool { return w[0] == "RUN" || w[0] == "FEED" }, e.command)
--- /dev/null
+++ b/tests/ready_test.go
@@ -0,0 +1,118 @@
+package tests
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// readyMost is the operators' term for nine in ten restarted processes.
+const readyMost = 10 * time.Second
+
+// readyWithin tells how long a service takes to a good health check, if it is ready in time.
+func (s *service) readyWithin(most time.Duration) (time.Duration, bool) {
+	began := time.Now()
+	for time.Since(began) < most {
+		if c, err := dialFCGI(s.fcgi); err == nil {
+			a, err := c.do("/ping", nil, nil)
+			c.Close()
+			if err == nil && a.status == 200 {
+				return time.Since(began), true
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return 0, false
+}
+
+// silentServer accepts connections, and neither reads nor writes.
+func silentServer(t *testing.T) string {
+	return server(t, func(c net.Conn) { t.Cleanup(func() { c.Close() }) })
+}
+
+// TestReadyAfterRestart: services are killed and started again while the first link to the
+// engine is accepted and forgotten, directory and records service are away, the other nodes
+// of the store and its store of record too, and another process still holds the address.
+func TestReadyAfterRestart(t *testing.T) {
+	t.Parallel()
+	const services, withStore = 10, 4
+	var all []*service
+	var engines []*engine
+	for i := range services {
+		e := newEngine(t)
+		engines = append(engines, e)
+		s := start(t, func(cfg object) {
+			cfg["engine"], cfg["records"], cfg["lookup"] = e.addr, freePort(t), freePort(t)
+			if i < withStore {
+				cfg["store"] = object{"node": "s1", "dir": t.TempDir(), "peers": []object{
+					{"name": "s1", "raft": freePort(t), "admin": freePort(t)},
+					{"name": "s2", "raft": freePort(t), "admin": freePort(t)},
+					{"name": "s3", "raft": silentServer(t), "admin": silentServer(t)},
+				}, "sql": object{"driver": "postgres", "dsn": fmt.Sprintf("postgres://u:p@%s/x?sslmode=disable", silentServer(t))}}
+			}
+		})
+		all = append(all, s)
+	}
+	var wait sync.WaitGroup
+	took := make([]time.Duration, services)
+	inTime := make([]bool, services)
+	for i, s := range all {
+		wait.Go(func() {
+			s.readyWithin(patience)
+			s.Kill()
+			engines[i].mu.Lock()
+			engines[i].forgets = 1
+			engines[i].mu.Unlock()
+			holder, err := net.Listen("tcp", s.fcgi) // a predecessor that still drains
+			if !assert.NoError(t, err) {
+				return
+			}
+			s.launch()
+			go func() { // gone some time after it was found there
+				for !strings.Contains(s.log(), "address in use, trying again") {
+					time.Sleep(time.Millisecond)
+				}
+				holder.Close()
+			}()
+			took[i], inTime[i] = s.readyWithin(readyMost)
+		})
+	}
+	wait.Wait()
+	t.Log("ready after", took)
+	ready := 0
+	for _, ok := range inTime {
+		if ok {
+			ready++
+		}
+	}
+	assert.GreaterOrEqual(t, ready, services*9/10)
+}
+
+// TestAddressInUse: an address that another process holds is tried again for as long as a
+// predecessor may take to end, and then given up with a line that names it. A notice ends
+// the wait.
+func TestAddressInUse(t *testing.T) {
+	t.Parallel()
+	holder, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer holder.Close()
+	held := func(cfg object) {
+		cfg["listen"], cfg["engine"], cfg["stop_ms"] = holder.Addr().String(), newEngine(t).addr, 500
+	}
+	s := start(t, held)
+	await(t, "the first try", func() bool { return strings.Contains(s.log(), "address in use, trying again") })
+	require.NoError(t, s.Signal(syscall.SIGTERM))
+	assert.NoError(t, <-s.exit)
+
+	s = start(t, held)
+	assert.EqualError(t, <-s.exit, "exit status 2")
+	assert.Contains(t, s.log(), "listen: listen tcp "+holder.Addr().String()+": bind: address already in use")
+	assert.Equal(t, 1, strings.Count(s.log(), "address in use, trying again"))
+}
