Descriptors are divided: callers can't take those of the service's own links

Seen in a process under `ulimit -n 64` with 64 callers that connect without end, while discovery is down: "hand over connection: too many open files", calls and engine link fail with it. A second fault, seen in the same test: a full table ended a new connection before its caller could write the first byte (EOF on a request), while connections that rest for long were kept (front.go, makeRoom).

A limit that is too small is logged and given the least shares, so that no start fails by it. A full table ends silent connections older than 50 ms (the protocol's time for a crossing request) first, then those that rest, then new ones.

--- a/cmd/oxbowbridge/serve.go
+++ b/cmd/oxbowbridge/serve.go
@@ -19,6 +19,7 @@
 	"oxbowbridge/internal/ajp"
 	"oxbowbridge/internal/core"
 	"oxbowbridge/internal/deadline"
+	"oxbowbridge/internal/descriptors"
 	"oxbowbridge/internal/directory"
 	"oxbowbridge/internal/engine"
 	"oxbowbridge/internal/exchange"
@@ -35,8 +36,7 @@
 	requestKB    = 8   // what an open request takes here: body, result, bookkeeping
 	requestShare = 3   // a third of memory_mb may be open requests
 	keysShare    = 5   // and a fifth replay keys with their results: with the open requests less than memoryShare
-	callShare    = 8   // an eighth of the descriptors may be calls in hand
-	lingerShare  = 16  // and half as many may be of connections that have ended and wait for their peers
+	storeShare   = 8   // an eighth of the descriptors is for the replicated store, if there is one
 	linesMost    = 50  // of one message in a second, after which
 	linesThen    = 100 // only one of so many is written
 
@@ -127,7 +127,8 @@
 
 // wireUp makes the parts and connects them. A notice ends its wait for an address.
 func wireUp(notice context.Context, cfg *config, log *zap.Logger) (*service, error) {
-	loop, err := socket.New(cfg.Limits.Sockets / lingerShare)
+	shares := divideDescriptors(cfg, log)
+	loop, err := socket.New(shares.Ended)
 	if err != nil {
 		return nil, err
 	}
@@ -146,7 +147,7 @@
 	if cfg.Settings.Info.Below == "shared" {
 		lingers = cfg.Settings.Info.Linger
 	}
-	calls := records.New(cfg.Records, cfg.Limits.Sockets/callShare, lingers, env)
+	calls := records.New(cfg.Records, shares.Calls, lingers, env)
 	list := directory.New(cfg.Lookup, cfg.Name, env)
 	p.Runner, p.Calls, p.Directory = runner, calls, list
 	fronts := frontsOf(cfg, x, classes, log)
@@ -159,7 +160,7 @@
 	}
 	for _, f := range fronts {
 		wait := time.Duration(cfg.StopMS)*time.Millisecond + predecessorSlack
-		if err := f.listen(notice, loop, cfg.Limits.Sockets*3/4/len(fronts), wait, log); err != nil {
+		if err := f.listen(notice, loop, shares.Callers/len(fronts), wait, log); err != nil {
 			return nil, fmt.Errorf("%w: %s: %w", errConfig, f.field, err)
 		}
 		log.Info("listening", zap.String("front", f.field), zap.Stringer("address", f.front.Addr()))
@@ -177,6 +178,38 @@
 	return s, nil
 }
 
+// divideDescriptors divides what the configuration and the system allow.
+func divideDescriptors(cfg *config, log *zap.Logger) descriptors.Shares {
+	use := descriptors.Use{Limit: cfg.Limits.Sockets, Open: openDescriptors()}
+	var system syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &system) == nil && system.Cur < uint64(use.Limit) {
+		use.Limit = int(system.Cur)
+	}
+	for _, addr := range []string{cfg.Listen, cfg.AJP.Listen} {
+		if addr != "" {
+			use.Listeners++
+		}
+	}
+	if cfg.Store != nil {
+		use.Others = use.Limit / storeShare
+	}
+	shares := descriptors.Divide(use)
+	if shares.Short {
+		log.Warn("few descriptors are left for connections", zap.Int("limit", use.Limit), zap.Int("open", use.Open))
+	}
+	return shares
+}
+
+// openDescriptors is how many descriptors this process has, inherited ones included.
+func openDescriptors() int {
+	const guess = 16 // where the system does not tell
+	list, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return guess
+	}
+	return len(list) - 1 // the folder's own, while it was read
+}
+
 // runner is an exchange.Runner that has to be connected, and to follow the file.
 type runner interface {
 	exchange.Runner
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -27,7 +27,7 @@
 	// helloMost is how long a link waits for HELLO before another one is opened beside it. An
 	// engine that is not up yet sends none, but neither does one that has forgotten the link.
 	helloMost = 2 * time.Second
-	gaugeTag   = "gauges"
+	gaugeTag  = "gauges"
 )
 
 var errQuiet = errors.New("nothing heard")
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -39,6 +39,9 @@
 	skipMost    = 64 << 10  // bytes that belong to no request, between two that do
 	unsentMost  = 192 << 10 // bytes of answers that wait to be read: 32 of the longest
 	floodMost   = 1 << 20   // bytes after a fault, while answers to what came before it are owed
+	// firstWords is how long a new connection may take to send its first bytes before others
+	// take its place: a request may take 50 ms to cross a close, by the protocol.
+	firstWords = 50 * time.Millisecond
 )
 
 // Faults of a connection, which end it.
@@ -370,31 +373,37 @@
 	return nil
 }
 
-// makeRoom ends a connection for a new one: of those that have said nothing whole yet
-// the one that is silent for longest, or else the one that has been idle for longest.
-// Half a message is given up only where nothing else is. Guards balancers against
-// callers that connect by the hundred, or keep what they use no more.
+// makeRoom ends a connection for a new one. In this order, of each kind the one that has
+// been silent or idle for longest: those that have said nothing whole yet and had the time
+// for it, those that rest, those that have come just now, and those with half a message.
+// Guards balancers against callers that connect by the hundred, or keep what they use no more.
 func (s *Conns) makeRoom() bool {
+	now := time.Now()
 	silent, rest := s.byUse()
 	// The system is asked about as few connections as possible: callers that connect
 	// without end have this done for each connection.
 	victim := slices.IndexFunc(silent, func(c Conn) bool { return !c.Half() })
-	if victim < 0 && len(silent) > 0 {
-		victim = 0
-	}
-	if victim >= 0 {
-		silent[victim].Finish()
-		delete(s.conns, silent[victim])
+	if victim >= 0 && now.Sub(silent[victim].LastUsed()) >= firstWords {
+		s.drop(silent[victim])
 		return true
 	}
-	now := time.Now()
 	for _, c := range rest {
 		if c.CloseIdle(now, 0) {
 			delete(s.conns, c)
 			return true
 		}
 	}
-	return false
+	if len(silent) == 0 {
+		return false
+	}
+	s.drop(silent[max(victim, 0)])
+	return true
+}
+
+// drop ends a connection on which nothing whole has come.
+func (s *Conns) drop(c Conn) {
+	c.Finish()
+	delete(s.conns, c)
 }
 
 // byUse lists the connections that have said nothing whole yet, and the others, those
--- /dev/null
+++ b/tests/descriptors_test.go
@@ -0,0 +1,101 @@
+package tests
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// newCrowd connects without end, as fast as it is let, until the test is over: half of its
+// members say nothing, the others ask for the health once and stay.
+func newCrowd(t *testing.T, addr string, size int) {
+	ctx, end := context.WithCancel(context.Background())
+	var members sync.WaitGroup
+	for i := range size {
+		members.Go(func() { crowdMember(ctx, addr, i%2 == 0) })
+	}
+	t.Cleanup(func() { end(); members.Wait() })
+}
+
+// crowdMember opens another connection whenever the service has ended one, and ends its
+// own side of that only then: until then it holds a descriptor of the service.
+func crowdMember(ctx context.Context, addr string, asks bool) {
+	var last net.Conn
+	for {
+		c, err := net.Dial("tcp", addr)
+		if last != nil {
+			last.Close()
+		}
+		if last = nil; err == nil {
+			last = c
+			if asks {
+				c.Write(fcgiRequest(1, "/ping", nil, nil))
+			}
+			stop := context.AfterFunc(ctx, func() { c.Close() })
+			io.Copy(io.Discard, c)
+			stop()
+		}
+		select {
+		case <-ctx.Done():
+			if last != nil {
+				last.Close()
+			}
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// TestIdleClientsFillDescriptors: callers that connect without end take no descriptor that
+// the service needs for itself. While discovery is down, a lost engine link and calls below
+// find one each; requests on new connections are served; and reports come back by
+// themselves with discovery.
+func TestIdleClientsFillDescriptors(t *testing.T) {
+	t.Parallel()
+	const limit = 64
+	lookup := freePort(t)
+	w := newWorld(t, func(cfg object) {
+		delete(cfg, "ajp")
+		cfg["lookup"], cfg[testDescriptors] = lookup, limit
+		cfg["limits"].(object)["sockets"] = limit
+	})
+	newCrowd(t, w.fcgi, limit)
+	held := func() int {
+		list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid))
+		require.NoError(t, err)
+		return len(list)
+	}
+	most := 0
+	for round := range 10 {
+		w.engine.mu.Lock()
+		attached := countOf(w.engine.heard, "ATTACH")
+		w.engine.conn.Close()
+		w.engine.mu.Unlock()
+		await(t, "the engine link again", func() bool { return w.engine.heardOf("ATTACH") > attached })
+		for _, class := range classNames { // all but one with a call below, unsafe ones on a connection of their own
+			assert.Equal(t, 200, w.status(class, "call"), "%s in round %d", class, round)
+		}
+		most = max(most, held())
+	}
+	assert.LessOrEqual(t, most, limit)
+	assert.NotContains(t, w.log(), "too many open files")
+
+	udp, err := net.ListenPacket("udp", lookup)
+	require.NoError(t, err)
+	defer udp.Close()
+	b := make([]byte, 100)
+	require.NoError(t, udp.SetReadDeadline(time.Now().Add(patience)))
+	n, _, err := udp.ReadFrom(b)
+	require.NoError(t, err)
+	assert.Equal(t, "PULSE n3 open", string(b[:n]))
+	assert.Equal(t, 200, w.ping())
+	w.drain()
+}
--- a/tests/endings_test.go
+++ b/tests/endings_test.go
@@ -447,7 +447,7 @@
 // what has said half a message, though that came first.
 func TestRoomForOthersFirst(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, func(cfg object) { cfg["limits"].(object)["sockets"] = 80 }) // 30 connections of each front
+	w := newWorld(t, func(cfg object) { cfg["limits"].(object)["sockets"] = 80 }) // some 20 connections of each front
 	request := fcgiRequest(1, "/call/nom-submit", fieldsOf(newTrace()), []byte("ok"))
 	half, err := dialFCGI(w.fcgi)
 	require.NoError(t, err)
--- a/tests/guards_test.go
+++ b/tests/guards_test.go
@@ -78,7 +78,7 @@
 // stay, keep no balancer out.
 func TestCrowd(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, func(cfg object) { cfg["limits"].(object)["sockets"] = 80 }) // 30 connections of each front
+	w := newWorld(t, func(cfg object) { cfg["limits"].(object)["sockets"] = 80 }) // some 20 connections of each front
 	for i := range 60 {
 		raw(t, w.fcgi)
 		raw(t, w.ajp)
