A request that was read is never taken away by the end of its connection

Abandon and a failed write closed descriptors in other goroutines; the next connection got the number, and the end of the one before closed it (TestDescriptorsAreClosedByTheLoop).

Change: bytes in the loop's hands count as unread; no connection with unread bytes is ended for another or as late, the new one is refused, if need be; only the loop's goroutine closes descriptors, others shut the connection down; writes that fail don't close it either.

--- a/internal/fastcgi/front.go
+++ b/internal/fastcgi/front.go
@@ -40,10 +40,14 @@
 		front.Conn
 		socket.Handler
 	} {
-		return &conn{front: f, Base: front.Base{Conn: s, Used: time.Now()}, calls: map[uint16]*call{}}
+		return f.newConn(s)
 	})
 }
 
+func (f *Front) newConn(s *socket.Conn) *conn {
+	return &conn{front: f, Base: front.Base{Conn: s, Used: time.Now()}, calls: map[uint16]*call{}}
+}
+
 // conn is one connection of a balancer.
 type conn struct {
 	front  *Front
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -190,6 +190,8 @@
 	Silent() bool
 	// Half tells whether part of a message has come that is not read to its end, or at all.
 	Half() bool
+	// Unread tells whether bytes have come that are not handled yet: perhaps a whole request.
+	Unread() bool
 	LastUsed() time.Time
 	Pending() int // bytes that wait to be sent
 	// Finish has nothing begin any more, forgets what has not come whole, and ends the
@@ -376,6 +378,7 @@
 // makeRoom ends a connection for a new one. In this order, of each kind the one that has
 // been silent or idle for longest: those that have said nothing whole yet and had the time
 // for it, those that rest, those that have come just now, and those with half a message.
+// One with bytes that are not handled yet is never ended: the new one is, if need be.
 // Guards balancers against callers that connect by the hundred, or keep what they use no more.
 func (s *Conns) makeRoom() bool {
 	now := time.Now()
@@ -393,10 +396,13 @@
 			return true
 		}
 	}
-	if len(silent) == 0 {
+	if victim < 0 { // a whole request may lie unread: its caller can't know that nothing ran
+		victim = slices.IndexFunc(silent, func(c Conn) bool { return !c.Unread() })
+	}
+	if victim < 0 {
 		return false
 	}
-	s.drop(silent[max(victim, 0)])
+	s.drop(silent[victim])
 	return true
 }
 
@@ -434,7 +440,7 @@
 		case stuck: // it doesn't read its answers
 			late++
 			c.Abandon()
-		case owes:
+		case owes && !c.Unread(): // what it owes may have come
 			late++
 			c.Finish()
 		}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,6 +33,9 @@
 	// queueMost is how many connections a closing listener takes from the system's queue if
 	// the system does not tell how many there are.
 	queueMost = 128
+	// leavingWaits is for how many milliseconds no connection is taken, at most, while the
+	// loop is behind with closing others.
+	leavingWaits = 100
 )
 
 // Handler gets what happens on one connection. Data and Closed are called from
@@ -43,14 +47,20 @@
 }
 
 // Conn is a connection of the loop.
+//
+// Its descriptor is closed by the loop's goroutine, while that handles the connection's own
+// event. A descriptor that another goroutine closed could be a new connection's before the
+// loop comes to an event that it has fetched already, and the new one would be closed by it.
+// The others shut the connection down instead, which is such an event.
 type Conn struct {
 	loop    *Loop
 	nb      *nbio.Conn
 	handler Handler
+	writing sync.Mutex // orders writers; taken before nbio's lock, and that before mu
 	mu      sync.Mutex
 	pending int       // bytes that wait to leave
 	added   bool      // the loop has it
-	gone    bool      // Abandon was called
+	gone    time.Time // when Abandon was called first
 	ending  bool      // nothing more is written
 	half    bool      // the peer was told
 	ended   time.Time // when End was called
@@ -62,14 +72,54 @@
 // Write sends b, or queues it without blocking. A connection that can't take it
 // is closed.
 func (c *Conn) Write(b []byte) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	c.mu.Lock()
-	if c.ending {
+	if c.over() {
 		c.mu.Unlock()
 		return
 	}
+	waiting := c.pending
 	c.pending += len(b)
 	c.mu.Unlock()
-	c.nb.Write(b) // an error closes the connection, which Closed tells
+	if waiting+len(b) > writeMost {
+		c.Abandon()
+		return
+	}
+	if waiting == 0 {
+		n, ok := c.send(b)
+		c.written(n)
+		if !ok {
+			c.Abandon()
+			return
+		}
+		b = b[n:]
+	}
+	if len(b) > 0 {
+		c.nb.Write(b) // queues it: the system had no room just now
+	}
+}
+
+// send writes what the system takes at once. It reports false if the connection is lost:
+// nbio's own write would close the descriptor in this goroutine.
+func (c *Conn) send(b []byte) (sent int, ok bool) {
+	c.nb.Lock()
+	defer c.nb.Unlock()
+	if closed, _ := c.nb.IsClosed(); closed {
+		return 0, false
+	}
+	for {
+		n, err := syscall.Write(c.nb.Hash(), b)
+		switch err {
+		case nil:
+			return n, true
+		case syscall.EINTR:
+		case syscall.EAGAIN:
+			return 0, true
+		default:
+			return 0, false
+		}
+	}
 }
 
 // Pending is how many bytes wait to leave.
@@ -79,9 +129,16 @@
 	return c.pending
 }
 
-// Unread tells whether bytes have come that are not read yet: where the loop is behind, a
-// connection on which nothing was read is not idle.
+// Unread tells whether bytes have come that are not handled yet: where the loop is behind, a
+// connection on which nothing was read is not idle, nor is one of which the loop has read
+// bytes and not handed them over whole.
 func (c *Conn) Unread() bool {
+	// In this order: what leaves the system's queue is in the loop's hands before.
+	return c.queued() || c.loop.reading.Load() == c.nb
+}
+
+// queued tells whether bytes wait in the system's queue.
+func (c *Conn) queued() bool {
 	c.nb.Lock()
 	defer c.nb.Unlock()
 	if closed, _ := c.nb.IsClosed(); closed {
@@ -119,31 +176,47 @@
 	if !now {
 		return
 	}
-	c.nb.Lock() // so that the descriptor is not closed meanwhile, and another's by then
+	c.shutdown(syscall.SHUT_WR)
+}
+
+// shutdown ends the given directions. nbio's lock is held meanwhile, so that the descriptor
+// is not closed, and another's by then.
+func (c *Conn) shutdown(how int) {
+	c.nb.Lock()
 	defer c.nb.Unlock()
 	if closed, _ := c.nb.IsClosed(); !closed {
-		syscall.Shutdown(c.nb.Hash(), syscall.SHUT_WR)
+		syscall.Shutdown(c.nb.Hash(), how)
 	}
 }
 
-// Abandon closes the connection at once: for peers to which nothing is owed. nbio would
-// register a descriptor that is closed already, and by then perhaps another connection's:
-// before the loop has the connection it is only marked, and add closes it.
+// Abandon ends the connection at once, in both directions: for peers to which nothing is
+// owed. The loop closes it by the event that comes of that. Before the loop has the
+// connection it is only marked, and add goes on from there: nbio would register a
+// descriptor that is closed already, and by then perhaps another connection's.
 func (c *Conn) Abandon() {
 	c.mu.Lock()
-	c.gone = true
+	first := c.gone.IsZero()
+	if first {
+		c.gone = time.Now()
+	}
 	added := c.added
 	c.mu.Unlock()
+	if first {
+		c.loop.abandoned(c)
+	}
 	if added {
-		c.nb.Close()
+		c.shutdown(syscall.SHUT_RDWR)
 	}
 }
 
+// over tells whether nothing more is written or handled. The lock is held.
+func (c *Conn) over() bool { return c.ending || !c.gone.IsZero() }
+
 // data passes on what came, unless the connection has ended.
 func (c *Conn) data(b []byte) {
 	c.mu.Lock()
-	ending := c.ending
-	if ending {
+	over := c.over()
+	if over {
 		c.dropped += len(b)
 	}
 	flood := c.dropped > dropMost
@@ -151,7 +224,7 @@
 	switch {
 	case flood:
 		c.Abandon()
-	case !ending:
+	case !over:
 		c.handler.Data(b)
 	}
 }
@@ -166,8 +239,8 @@
 	}
 }
 
-// over tells whether a connection that has ended is to be closed.
-func (c *Conn) over(now time.Time) bool {
+// late tells whether a connection that has ended is to be closed.
+func (c *Conn) late(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.pending < c.unsent { // the peer reads on
@@ -183,7 +256,11 @@
 	mu        sync.Mutex // orders the making of a Conn before its first use
 	lingering []*Conn    // that have ended and are not closed, the oldest first
 	most      int        // of them, but for those that ended just now
+	leaving   []*Conn    // that were abandoned and are not closed
 	handing   sync.Mutex // one connection at a time has two descriptors, while nbio takes it over
+
+	reading atomic.Pointer[nbio.Conn] // whose bytes the loop's goroutine reads and hands over just now
+	buffer  []byte                    // of the loop's goroutine
 }
 
 // linger notes a connection that ends. Beyond the bound the oldest are closed, as each
@@ -209,6 +286,27 @@
 	abandon(old)
 }
 
+// abandoned notes a connection that the loop is to close.
+func (l *Loop) abandoned(c *Conn) {
+	l.mu.Lock()
+	l.leaving = append(l.leaving, c)
+	l.mu.Unlock()
+}
+
+// awaitClosed waits while more abandoned connections than wanted hold a descriptor, so that
+// callers that connect without end get no further ahead of the loop than that.
+func (l *Loop) awaitClosed() {
+	for range leavingWaits {
+		l.mu.Lock()
+		leaving := len(l.leaving)
+		l.mu.Unlock()
+		if leaving <= l.most {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func abandon(conns []*Conn) {
 	for _, c := range conns {
 		c.Abandon()
@@ -218,7 +316,9 @@
 // closed forgets a connection.
 func (l *Loop) closed(c *Conn) {
 	l.mu.Lock()
-	l.lingering = slices.DeleteFunc(l.lingering, func(x *Conn) bool { return x == c })
+	same := func(x *Conn) bool { return x == c }
+	l.lingering = slices.DeleteFunc(l.lingering, same)
+	l.leaving = slices.DeleteFunc(l.leaving, same)
 	l.mu.Unlock()
 }
 
@@ -228,18 +328,35 @@
 	var old []*Conn
 	l.mu.Lock()
 	l.lingering = slices.DeleteFunc(l.lingering, func(c *Conn) bool {
-		over := c.over(now)
-		if over {
+		late := c.late(now)
+		if late {
 			old = append(old, c)
 		}
-		return over
+		return late
 	})
 	left = len(l.lingering)
+	stuck := l.stuck(now)
 	l.mu.Unlock()
 	abandon(old)
+	for _, c := range stuck {
+		c.nb.Close()
+	}
 	return left
 }
 
+// stuck are the connections that were abandoned long ago and that no event has closed. The
+// lock is held.
+func (l *Loop) stuck(now time.Time) (conns []*Conn) {
+	for _, c := range l.leaving {
+		c.mu.Lock()
+		if c.added && now.Sub(c.gone) >= lingerMost {
+			conns = append(conns, c)
+		}
+		c.mu.Unlock()
+	}
+	return conns
+}
+
 func (l *Loop) conn(nb *nbio.Conn) (*Conn, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -253,8 +370,13 @@
 	logging.SetLevel(logging.LevelNone)
 	e := nbio.NewEngine(nbio.Config{Name: "loop", NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: writeMost,
 		MaxConnReadTimesPerEventLoop: readsMost})
-	l := &Loop{engine: e, most: lingering}
+	l := &Loop{engine: e, most: lingering, buffer: make([]byte, readBuffer)}
 	e.OnOpen(func(*nbio.Conn) {})
+	e.OnReadBufferAlloc(func(nb *nbio.Conn) *[]byte {
+		l.reading.Store(nb)
+		return &l.buffer
+	})
+	e.OnReadBufferFree(func(*nbio.Conn, *[]byte) { l.reading.Store(nil) })
 	e.OnData(func(nb *nbio.Conn, b []byte) {
 		if c, ok := l.conn(nb); ok {
 			c.data(b)
@@ -300,10 +422,10 @@
 	}
 	c.mu.Lock()
 	c.added = true
-	gone := c.gone
+	gone := !c.gone.IsZero()
 	c.mu.Unlock()
 	if gone {
-		c.nb.Close()
+		c.shutdown(syscall.SHUT_RDWR)
 	}
 	c.finish() // its handler may have ended it
 	return c, nil
@@ -377,6 +499,7 @@
 	go func() {
 		defer close(done)
 		for {
+			l.awaitClosed()
 			raw, err := ln.Accept()
 			switch {
 			case err == nil:
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -317,3 +318,42 @@
 	require.NoError(t, err)
 	require.NotZero(t, on)
 }
+
+// TestDescriptorsAreClosedByTheLoop: a connection is given up, and another one fails to take
+// what is written, while the loop stands in an event of a third one, with theirs perhaps
+// fetched already. Their descriptors stay theirs until the loop goes on: had they been closed
+// meanwhile, the next connections would get their numbers, and their events.
+func TestDescriptorsAreClosedByTheLoop(t *testing.T) {
+	_, connect := pair(t, 4)
+	stands, c := connect()
+	given, _ := connect()
+	failing, reset := connect()
+	_, err := c.Write([]byte("x"))
+	require.NoError(t, err)
+	<-stands.data // the loop stands there
+	goOn := sync.OnceFunc(func() { close(stands.goOn) })
+	defer goOn()
+
+	inode := func(p *peer) uint64 {
+		var stat unix.Stat_t
+		if unix.Fstat(p.conn.nb.Hash(), &stat) != nil {
+			return 0
+		}
+		return stat.Ino
+	}
+	before := []uint64{inode(given), inode(failing)}
+	given.conn.Abandon()
+	require.NoError(t, reset.SetLinger(0))
+	require.NoError(t, reset.Close())
+	require.Eventually(t, func() bool { // until the reset has come
+		failing.conn.Write([]byte("x"))
+		failing.conn.mu.Lock()
+		defer failing.conn.mu.Unlock()
+		return !failing.conn.gone.IsZero()
+	}, 10*time.Second, time.Millisecond)
+	require.Equal(t, before, []uint64{inode(given), inode(failing)})
+	require.Empty(t, given.closed)
+	goOn()
+	<-given.closed
+	<-failing.closed
+}
