A connection that is given up after its close is not waited for

The listener waits while many are noted: it took ten connections a second in the end.

Change: a connection knows that it is closed; neither list takes it then. Test: TestEndAfterTheClose.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -61,6 +61,7 @@
 	pending int       // bytes that wait to leave
 	added   bool      // the loop has it
 	gone    time.Time // when Abandon was called first
+	closed  bool      // guarded by the loop's lock
 	ending  bool      // nothing more is written
 	half    bool      // the peer was told
 	ended   time.Time // when End was called
@@ -271,7 +272,9 @@
 	c.ended, c.until, c.unsent = now, now.Add(lingerMost), c.pending
 	c.mu.Unlock()
 	l.mu.Lock()
-	l.lingering = append(l.lingering, c)
+	if !c.closed {
+		l.lingering = append(l.lingering, c)
+	}
 	n := 0
 	for left := len(l.lingering); left > l.most; left-- {
 		recent := now.Sub(l.lingering[n].ended) < lingerLeast
@@ -286,11 +289,13 @@
 	abandon(old)
 }
 
-// abandoned notes a connection that the loop is to close.
+// abandoned notes a connection that the loop is to close, unless it has.
 func (l *Loop) abandoned(c *Conn) {
 	l.mu.Lock()
-	l.leaving = append(l.leaving, c)
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	if !c.closed {
+		l.leaving = append(l.leaving, c)
+	}
 }
 
 // awaitClosed waits while more abandoned connections than wanted hold a descriptor, so that
@@ -316,6 +321,7 @@
 // closed forgets a connection.
 func (l *Loop) closed(c *Conn) {
 	l.mu.Lock()
+	c.closed = true
 	same := func(x *Conn) bool { return x == c }
 	l.lingering = slices.DeleteFunc(l.lingering, same)
 	l.leaving = slices.DeleteFunc(l.leaving, same)
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -357,3 +357,21 @@
 	<-given.closed
 	<-failing.closed
 }
+
+// TestEndAfterTheClose: a connection that is ended or given up once it is closed is counted
+// among those that wait for that no more: it would be for ever.
+func TestEndAfterTheClose(t *testing.T) {
+	loop, connect := pair(t, 2)
+	for range 5 {
+		p, c := connect()
+		require.NoError(t, c.Close())
+		<-p.closed
+		p.conn.Write([]byte("x"))
+		p.conn.End()
+		p.conn.Abandon()
+	}
+	require.Zero(t, loop.Sweep(time.Now()))
+	loop.mu.Lock()
+	defer loop.mu.Unlock()
+	require.Empty(t, loop.leaving)
+}
