A crowd costs less; a drain counts from its notice, however late the turn

Cause: the order in which room is made looked at all connections in a map and two sorts, for each new one of a crowd.

Found by reading while at it: Drain counted the grace and the stop from the turn that came to the notice, which is late when the machine is (50 to 90 ms at a process's first plan, in the logs of each play): a request that came later than the grace after the notice could run, and the process end after its stop_ms. Both count from the notice now, in the core and in the module (rules.Drain has Waited; 0 in the simulator). Test: TestDrainCountsFromTheNotice.

--- a/cmd/oxbowbridge/serve.go
+++ b/cmd/oxbowbridge/serve.go
@@ -93,9 +93,10 @@
 		case <-notice.Done():
 		case <-worker.leaves:
 		}
+		noticed := time.Now()
 		kept.say("draining")
 		stop := time.Duration(current.Load().StopMS)*time.Millisecond - kept.closing()
-		s.x.Post(exchange.Step(func() { s.core.Drain(stop) }))
+		s.x.Post(exchange.Step(func() { s.core.Drain(time.Since(noticed), stop) }))
 	}()
 	s.core.Run()
 	return worker.out(notice)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -650,21 +650,24 @@
 	c.Deadlines.At(c.Now()+sweepEvery, c.sweepIdle)
 }
 
-// Drain takes the notice that the process will be stopped after the given time.
-// It is called in a Step.
-func (c *Core) Drain(stop time.Duration) {
+// Drain takes the notice, which came so long ago, that the process will be stopped after
+// the given time. All is counted from when it came: a turn that was late must not have
+// later requests run. It is called in a Step.
+func (c *Core) Drain(waited, stop time.Duration) {
 	if c.draining {
 		return
 	}
-	c.draining, c.stopAt = true, c.Now()+stop
-	c.closeAt = min(c.Now()+c.set.DrainGrace, c.stopAt-stopLead)
-	c.Log.Info("drain", zap.Duration("stop_in", stop), zap.Int("open", len(c.byID)))
+	noticed := c.Now() - waited
+	c.draining, c.stopAt = true, noticed+stop
+	c.closeAt = min(noticed+c.set.DrainGrace, c.stopAt-stopLead)
+	left := c.stopAt - c.Now()
+	c.Log.Info("drain", zap.Duration("stop_in", left), zap.Int("open", len(c.byID)))
 	if c.Settings.Info.Readiness {
 		c.Directory.Serves(false) // whatever its reports say now is listed at once
 	} else {
 		c.Directory.Shut()
 	}
-	c.tell(rules.Drain{TimeLeft: max(0, stop-stopLead)})
+	c.tell(rules.Drain{TimeLeft: max(0, left-stopLead), Waited: waited})
 	c.drainTick()
 }
 
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,44 @@
+package core
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"oxbowbridge/internal/deadline"
+	"oxbowbridge/internal/exchange"
+	"oxbowbridge/internal/wire"
+	"oxbowbridge/rules"
+)
+
+// directory is a Directory that does nothing.
+type directory struct{}
+
+func (directory) Open()       {}
+func (directory) Serves(bool) {}
+func (directory) Shut()       {}
+
+const smallSite = `{"tick_ns": 4000000, "servers": 1, "counted_by": "work",
+	"classes": [{"name": "balance-view", "effect": "idempotent", "value": 1, "aim_ns": 1000000000, "deadline_ns": 2000000000}],
+	"family_info": {"advert": "none", "below": "tier", "callers": 1, "class_calls": [false], "cores": 2, "halt": "drop",
+		"idle_ns": 15000000000, "memory_kb": 1000, "run_factor": 1, "own_stats": ["core_use"]},
+	"safety": {"answer_slack_ns": 80000000, "cold_ns": 16000000000, "cold_share": 0.2, "drain_grace_ns": 2500000000, "fall_multiple": 8, "fall_ns": 3000000000}}`
+
+// TestDrainCountsFromTheNotice: a notice that a late turn comes to counts from when it came,
+// for the core and for the module.
+func TestDrainCountsFromTheNotice(t *testing.T) {
+	var settings wire.Settings
+	require.NoError(t, json.Unmarshal([]byte(smallSite), &settings))
+	now := 10 * time.Second
+	c, err := New(Parts{Exchange: exchange.New(10), Deadlines: &deadline.Set{}, Directory: directory{}, Log: zap.NewNop(),
+		Settings: &settings, Now: func() time.Duration { return now }})
+	require.NoError(t, err)
+	const waited, stop = 300 * time.Millisecond, 4 * time.Second
+	c.Drain(waited, stop)
+	require.Equal(t, now-waited+stop, c.stopAt)
+	require.Equal(t, now-waited+2500*time.Millisecond, c.closeAt)
+	require.Equal(t, []rules.Event{rules.Drain{TimeLeft: stop - waited - stopLead, Waited: waited}}, c.events)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -186,13 +186,13 @@
 	// step for so long that the connection has to be ended, and whether that step is
 	// to read what was written.
 	Overdue() (late, stuck bool)
-	// Silent tells whether no whole request has come yet.
-	Silent() bool
+	// LastUsed is when a request last began or ended, or when the connection was made, and
+	// whether no whole request has come yet.
+	LastUsed() (at time.Time, silent bool)
 	// Half tells whether part of a message has come that is not read to its end, or at all.
 	Half() bool
 	// Unread tells whether bytes have come that are not handled yet: perhaps a whole request.
 	Unread() bool
-	LastUsed() time.Time
 	Pending() int // bytes that wait to be sent
 	// Finish has nothing begin any more, forgets what has not come whole, and ends the
 	// connection once all that was read is answered.
@@ -298,18 +298,12 @@
 	return b.owing > overdueMost, stuck && b.owing > overdueMost
 }
 
-// Silent tells whether no whole request has come yet.
-func (b *Base) Silent() bool {
+// LastUsed is when a request last began or ended, or when the connection was made, and
+// whether no whole request has come yet.
+func (b *Base) LastUsed() (at time.Time, silent bool) {
 	b.Lock()
 	defer b.Unlock()
-	return !b.asked
-}
-
-// LastUsed is when a request last began or ended.
-func (b *Base) LastUsed() time.Time {
-	b.Lock()
-	defer b.Unlock()
-	return b.Used
+	return b.Used, !b.asked
 }
 
 // Parse feeds the connection's parser. Guards against callers that speak another
@@ -382,11 +376,45 @@
 // Guards balancers against callers that connect by the hundred, or keep what they use no more.
 func (s *Conns) makeRoom() bool {
 	now := time.Now()
+	silent, rest := s.longestIdle()
+	switch {
+	case silent != nil && s.outOfTime(silent, now) && !silent.Half():
+		s.drop(silent)
+		return true
+	case rest != nil && rest.CloseIdle(now, 0):
+		delete(s.conns, rest)
+		return true
+	}
+	return s.makeRoomAnyhow(now)
+}
+
+// longestIdle are the connections used longest ago, of those that have said nothing whole
+// yet and of the others; nil without any. It is asked for each new connection of a crowd.
+func (s *Conns) longestIdle() (silent, rest Conn) {
+	var silentAt, restAt time.Time
+	for c := range s.conns {
+		at, isSilent := c.LastUsed()
+		switch {
+		case isSilent && (silent == nil || at.Before(silentAt)):
+			silent, silentAt = c, at
+		case !isSilent && (rest == nil || at.Before(restAt)):
+			rest, restAt = c, at
+		}
+	}
+	return silent, rest
+}
+
+// outOfTime tells whether a connection has had the time for its first bytes.
+func (s *Conns) outOfTime(c Conn, now time.Time) bool {
+	at, _ := c.LastUsed()
+	return now.Sub(at) >= firstWords
+}
+
+// makeRoomAnyhow looks at all connections, where those idle for longest are in use after all.
+func (s *Conns) makeRoomAnyhow(now time.Time) bool {
 	silent, rest := s.byUse()
-	// The system is asked about as few connections as possible: callers that connect
-	// without end have this done for each connection.
 	victim := slices.IndexFunc(silent, func(c Conn) bool { return !c.Half() })
-	if victim >= 0 && now.Sub(silent[victim].LastUsed()) >= firstWords {
+	if victim >= 0 && s.outOfTime(silent[victim], now) {
 		s.drop(silent[victim])
 		return true
 	}
@@ -417,8 +445,9 @@
 func (s *Conns) byUse() (silent, rest []Conn) {
 	lastUsed := make(map[Conn]time.Time, len(s.conns))
 	for c := range s.conns {
-		lastUsed[c] = c.LastUsed()
-		if c.Silent() {
+		at, isSilent := c.LastUsed()
+		lastUsed[c] = at
+		if isSilent {
 			silent = append(silent, c)
 		} else {
 			rest = append(rest, c)
--- a/rules/api.go
+++ b/rules/api.go
@@ -208,7 +208,10 @@
 }
 
 // Drain is the notice that the server will be stopped.
-type Drain struct{ TimeLeft time.Duration }
+type Drain struct {
+	TimeLeft time.Duration // until then
+	Waited   time.Duration // since the notice came, where it was not told at once
+}
 
 // Due answers a Defer.
 type Due struct {
--- a/rules/invariants_test.go
+++ b/rules/invariants_test.go
@@ -267,7 +267,7 @@
 			events := s.events()
 			if s.drain == 0 && rnd.Intn(3000) == 0 {
 				s.drain, stop = s.now, s.now+1200*ms
-				events = append(events, Drain{1200 * ms})
+				events = append(events, Drain{TimeLeft: 1200 * ms})
 			}
 			if len(events) > 0 {
 				s.carryOut(c.Handle(s.now, events))
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -654,7 +654,7 @@
 	if c.draining {
 		return
 	}
-	c.draining, c.drainedAt, c.stopAt = true, c.now, c.now+e.TimeLeft
+	c.draining, c.drainedAt, c.stopAt = true, c.now-e.Waited, c.now+e.TimeLeft
 	for _, r := range c.reqs {
 		r.due = min(r.due, max(c.now, c.stopAt-stopMargin))
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -504,10 +504,10 @@
 
 func TestNothingIsBegunThatCannotEndBeforeTheStop(t *testing.T) {
 	r := newRig(t, nil)
-	r.at(0, Drain{500 * ms})
+	r.at(0, Drain{TimeLeft: 500 * ms})
 	r.want(r.at(498*ms, ask(1, 1)), Refuse{ID: 1, RetryIn: time.Second})
 	r = newRig(t, keyedSite)
-	r.at(0, ask(1, 1), Drain{500 * ms})
+	r.at(0, ask(1, 1), Drain{TimeLeft: 500 * ms})
 	again := ask(2, 1)
 	again.DupOf = 1
 	r.want(r.at(498*ms, again), Abort{1}, Abort{2}) // and no repeat waits for it
