Nothing comes between the look at an idle connection and its end

Between the look for unread bytes and the shutdown the end of a connection took three locks, one of them the loop's, and could end others: a process out of its share stands still in there for longer than the 50 ms in which callers send a crossing request again.

What remains of the window is the way from one call to the next.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -221,11 +221,15 @@
 // bytes that wait to be read, which may be a request that came long before the end. The
 // caller holds the lock, as for all that follows.
 func (b *Base) EndIdle(now time.Time, idle time.Duration, part bool) bool {
-	if !b.Shut && (part || b.Open > 0 || b.Pending() > 0 || now.Sub(b.Used) < idle || b.Unread()) {
+	if b.Shut {
+		b.ShutDown()
+		return b.Open == 0
+	}
+	if part || b.Open > 0 || now.Sub(b.Used) < idle || !b.EndIfQuiet() {
 		return false
 	}
-	b.ShutDown()
-	return b.Open == 0
+	b.Shut = true
+	return true
 }
 
 // ShutDown has no request begin any more, and ends the connection once those that
@@ -378,8 +382,8 @@
 	now := time.Now()
 	silent, rest := s.longestIdle()
 	switch {
-	case silent != nil && s.outOfTime(silent, now) && !silent.Half():
-		s.drop(silent)
+	case silent != nil && s.outOfTime(silent, now) && silent.CloseIdle(now, 0):
+		delete(s.conns, silent)
 		return true
 	case rest != nil && rest.CloseIdle(now, 0):
 		delete(s.conns, rest)
@@ -413,31 +417,24 @@
 // makeRoomAnyhow looks at all connections, where those idle for longest are in use after all.
 func (s *Conns) makeRoomAnyhow(now time.Time) bool {
 	silent, rest := s.byUse()
-	victim := slices.IndexFunc(silent, func(c Conn) bool { return !c.Half() })
-	if victim >= 0 && s.outOfTime(silent[victim], now) {
-		s.drop(silent[victim])
-		return true
+	young := slices.IndexFunc(silent, func(c Conn) bool { return !s.outOfTime(c, now) })
+	if young < 0 {
+		young = len(silent)
 	}
-	for _, c := range rest {
+	for _, c := range slices.Concat(silent[:young], rest, silent[young:]) {
 		if c.CloseIdle(now, 0) {
 			delete(s.conns, c)
 			return true
 		}
 	}
-	if victim < 0 { // a whole request may lie unread: its caller can't know that nothing ran
-		victim = slices.IndexFunc(silent, func(c Conn) bool { return !c.Unread() })
-	}
-	if victim < 0 {
-		return false
+	for _, c := range silent {
+		if !c.Unread() { // else a whole request may lie there: its caller can't know that nothing ran
+			c.Finish()
+			delete(s.conns, c)
+			return true
+		}
 	}
-	s.drop(silent[victim])
-	return true
-}
-
-// drop ends a connection on which nothing whole has come.
-func (s *Conns) drop(c Conn) {
-	c.Finish()
-	delete(s.conns, c)
+	return false
 }
 
 // byUse lists the connections that have said nothing whole yet, and the others, those
@@ -463,12 +460,14 @@
 // and closes those that have been idle for so long.
 func (s *Conns) Sweep(idle time.Duration) {
 	s.mu.Lock()
-	late := 0
+	late, now := 0, time.Now()
 	for c := range s.conns {
 		switch owes, stuck := c.Overdue(); {
 		case stuck: // it doesn't read its answers
 			late++
 			c.Abandon()
+		case owes && c.CloseIdle(now, 0):
+			late++
 		case owes && !c.Unread(): // what it owes may have come
 			late++
 			c.Finish()
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -166,6 +166,39 @@
 	}
 }
 
+// EndIfQuiet ends the connection as End does, unless bytes have come that are not handled
+// yet, or some wait to leave. Between the look and the end there is no lock to wait for: a
+// process that has used up its share of the processor may stand still there for longer than a
+// request may take to cross the end.
+func (c *Conn) EndIfQuiet() bool {
+	first, quiet := c.endIfQuiet()
+	if first {
+		c.loop.linger(c)
+	}
+	return quiet
+}
+
+func (c *Conn) endIfQuiet() (first, quiet bool) {
+	c.nb.Lock() // the loop reads nothing meanwhile
+	defer c.nb.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending {
+		return false, true
+	}
+	if closed, _ := c.nb.IsClosed(); !closed {
+		if !c.added || c.pending > 0 || c.loop.reading.Load() == c.nb {
+			return false, false
+		}
+		if n, err := unix.IoctlGetInt(c.nb.Hash(), unix.SIOCINQ); err == nil && n > 0 {
+			return false, false
+		}
+		syscall.Shutdown(c.nb.Hash(), syscall.SHUT_WR)
+	}
+	c.ending, c.half = true, true
+	return true, true
+}
+
 // finish tells the peer, once all has left.
 func (c *Conn) finish() {
 	c.mu.Lock()
