Thirty services that share an AJP server don't fall on it when it has just started

Cause: Upstreams sent as many runs to a server that came back as the module lets begin, whatever others sent.

Change: internal/ramp (no I/O, no clock) gives a process its share of what the settings allow a cold server, by the number of services in them; where that is no whole number, the rest is drawn anew in each window, with a phase and seed of each process's own, so that the sum differs from N by chance alone. Upstreams keeps what it knows of each server: a start is learned of by a refusal followed by a connection, by a server newly listed at a reload, and by probes where the last connection was lost. Runs that no server may get yet wait, and are ended there if stopped. A server that is away is tried last.

--- a/cmd/oxbowbridge/serve.go
+++ b/cmd/oxbowbridge/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"net"
 	"os"
 	"os/signal"
@@ -27,6 +28,7 @@
 	"oxbowbridge/internal/front"
 	"oxbowbridge/internal/link"
 	"oxbowbridge/internal/logsink"
+	"oxbowbridge/internal/ramp"
 	"oxbowbridge/internal/records"
 	"oxbowbridge/internal/socket"
 )
@@ -236,12 +238,22 @@
 
 func runnerOf(cfg *config, env link.Env) runner {
 	if len(cfg.AJP.Upstreams) > 0 {
-		info := &cfg.Settings.Info
-		return upstreamRunner{ajp.NewUpstreams(cfg.AJP.Upstreams, cfg.AJP.UpstreamSecret, info.Cores, info.OwnStats, env)}
+		info, safety := &cfg.Settings.Info, &cfg.Settings.Safety
+		limits := ramp.Limits{Cores: info.Cores, Multiple: safety.FallMultiple, ColdShare: safety.ColdShare, Cold: safety.Cold,
+			Window: safety.Fall, Processes: cfg.Settings.Servers}
+		return upstreamRunner{ajp.NewUpstreams(cfg.AJP.Upstreams, cfg.AJP.UpstreamSecret, info.OwnStats, limits, upstreamSeed(cfg), env)}
 	}
 	return engineRunner{engine.New(cfg.Engine, cfg.Settings.Info.Halt == "pause", env)}
 }
 
+// upstreamSeed differs between the services of a fleet also where none is given a seed.
+func upstreamSeed(cfg *config) uint64 {
+	seed, _ := cfg.seed() // readConfig tried it
+	name := fnv.New64a()
+	name.Write([]byte(cfg.Name))
+	return seed ^ name.Sum64()
+}
+
 // listener is a front before it listens.
 type listener struct {
 	front interface {
--- a/internal/ajp/upstream.go
+++ b/internal/ajp/upstream.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +13,7 @@
 	"oxbowbridge/internal/deadline"
 	"oxbowbridge/internal/exchange"
 	"oxbowbridge/internal/link"
+	"oxbowbridge/internal/ramp"
 	"oxbowbridge/internal/socket"
 )
 
@@ -20,7 +22,8 @@
 	upIdleMost   = 10 * time.Second // an unused connection is kept so long
 	probeEvery   = 500 * time.Millisecond
 	upResultMost = 64 << 10
-	sendsMost    = 2 // of a run that may be sent again
+	sendsMost    = 2                     // of a run that may be sent again
+	rampAgain    = 20 * time.Millisecond // after which runs that wait for a cold server look again
 )
 
 var (
@@ -41,6 +44,21 @@
 	free   []*upConn
 	runs   map[string]*upRun
 	ready  bool
+
+	servers map[string]*upServer // by address
+	limits  ramp.Limits          // of a server that has just started
+	seed    uint64
+	waiting []*upRun // for a slot at a server that is warming up, oldest first
+	looking bool     // a look at those that wait is due
+}
+
+// upServer is what is known of the server at one address.
+type upServer struct {
+	addr    string
+	conns   int        // that are made or being made
+	running int        // runs on them
+	away    bool       // it refused the latest connection
+	ramp    *ramp.Ramp // since its start was learned of, nil once it is warm
 }
 
 // upRun is a run that has not ended.
@@ -56,6 +74,7 @@
 type upConn struct {
 	up     *Upstreams
 	addr   string
+	server *upServer
 	sock   *socket.Conn
 	parser parser
 	bad    bool
@@ -63,6 +82,7 @@
 	run    *upRun // nil while it is free
 	asked  bool   // CPING is out
 	sent   bool   // the request is: it may run
+	used   bool   // a run was sent on it
 	body   []byte // of the request, still to be sent
 	status int
 	result []byte
@@ -70,9 +90,11 @@
 	closed bool
 }
 
-// NewUpstreams returns a runner that isn't connected.
-func NewUpstreams(addrs []string, secret string, cores int, gauges []string, env link.Env) *Upstreams {
-	return &Upstreams{Env: env, addrs: addrs, secret: secret, cores: cores, gauges: gauges, runs: map[string]*upRun{}}
+// NewUpstreams returns a runner that isn't connected. The limits hold for each of the
+// servers; seed differs between processes.
+func NewUpstreams(addrs []string, secret string, gauges []string, limits ramp.Limits, seed uint64, env link.Env) *Upstreams {
+	return &Upstreams{Env: env, addrs: addrs, secret: secret, cores: limits.Cores, gauges: gauges, runs: map[string]*upRun{},
+		servers: map[string]*upServer{}, limits: limits, seed: seed}
 }
 
 // Open looks for an upstream until one answers; then the service is ready.
@@ -80,12 +102,18 @@
 	if u.ready {
 		return
 	}
-	u.connect(nil)
+	u.connect(u.nextAddr(), nil)
 	u.Due.At(u.Now()+probeEvery, u.Open)
 }
 
-// Move has new runs go to other addresses. Those that are out stay where they are.
+// Move has new runs go to other addresses. Those that are out stay where they are. A server
+// that was not listed before is taken for one that has just started.
 func (u *Upstreams) Move(addrs []string, secret string) {
+	for _, addr := range addrs {
+		if !slices.Contains(u.addrs, addr) {
+			u.started(u.server(addr))
+		}
+	}
 	u.addrs, u.secret = addrs, secret
 	for _, c := range slices.Clone(u.free) {
 		if !slices.Contains(addrs, c.addr) {
@@ -94,6 +122,29 @@
 	}
 }
 
+func (u *Upstreams) server(addr string) *upServer {
+	s := u.servers[addr]
+	if s == nil {
+		s = &upServer{addr: addr}
+		u.servers[addr] = s
+	}
+	return s
+}
+
+// started notes that a server has just started, by all that this process can know.
+func (u *Upstreams) started(s *upServer) {
+	s.ramp = ramp.New(u.limits, u.seed, u.Now())
+	u.Log.Info("upstream started, its load grows with it", zap.String("address", s.addr))
+}
+
+// hasSlot tells whether a server may get one more run of this process.
+func (u *Upstreams) hasSlot(s *upServer) bool {
+	if s.ramp != nil && s.ramp.Warm(u.Now()) {
+		s.ramp = nil
+	}
+	return s.ramp == nil || s.running < s.ramp.Slots(u.Now())
+}
+
 // Run has a run done.
 func (u *Upstreams) Run(a exchange.Attempt) {
 	r := &upRun{Attempt: a, began: u.Now()}
@@ -101,31 +152,105 @@
 	u.place(r)
 }
 
-// place gives a run a connection.
+// place gives a run a connection, or has it wait until a server may get it.
 func (u *Upstreams) place(r *upRun) {
-	if n := len(u.free); n > 0 {
-		c := u.free[n-1]
-		u.free = u.free[:n-1]
-		c.run, r.conn = r, c
+	for i := len(u.free) - 1; i >= 0; i-- {
+		c := u.free[i]
+		if !u.hasSlot(c.server) {
+			continue
+		}
+		u.free = slices.Delete(u.free, i, i+1)
+		c.take(r)
 		c.ask() // guards against a connection that was closed while it was free
 		return
 	}
-	u.connect(r)
+	// One that is away is tried where none is left: its refusal ends a run that finds no other.
+	for _, away := range []bool{false, true} {
+		for range u.addrs {
+			if s := u.server(u.nextAddr()); s.away == away && u.hasSlot(s) {
+				u.connect(s.addr, r)
+				return
+			}
+		}
+	}
+	u.waiting = append(u.waiting, r)
+	u.lookAgain()
+}
+
+// lookAgain places what waits, after a while.
+func (u *Upstreams) lookAgain() {
+	if u.looking {
+		return
+	}
+	u.looking = true
+	u.Due.At(u.Now()+rampAgain, func() {
+		u.looking = false
+		waiting := u.waiting
+		u.waiting = nil
+		for _, r := range waiting {
+			u.place(r)
+		}
+	})
 }
 
-func (u *Upstreams) connect(r *upRun) {
-	addr := u.addrs[u.next%len(u.addrs)]
+// nextAddr is the address whose turn it is.
+func (u *Upstreams) nextAddr() string {
 	u.next++
-	c := &upConn{up: u, addr: addr, parser: parser{magic: toWeb}, run: r}
+	return u.addrs[(u.next-1)%len(u.addrs)]
+}
+
+// connect connects to an address for a run, or to see whether a server is there.
+func (u *Upstreams) connect(addr string, r *upRun) {
+	c := &upConn{up: u, addr: addr, server: u.server(addr), parser: parser{magic: toWeb}}
+	c.server.conns++
 	if r != nil {
-		r.conn = c
+		c.take(r)
 	}
 	u.Dial(addr, c, func(sock *socket.Conn, err error) { c.opened(addr, sock, err) })
 }
 
+// take has the connection carry a run.
+func (c *upConn) take(r *upRun) {
+	c.run, r.conn = r, c
+	c.server.running++
+}
+
+// leave ends that, and returns the run; nil if there was none.
+func (c *upConn) leave() *upRun {
+	r := c.run
+	if r != nil {
+		c.run, r.conn = nil, nil
+		c.server.running--
+	}
+	return r
+}
+
+// reached notes whether a server took a connection.
+func (u *Upstreams) reached(s *upServer, err error) {
+	switch {
+	case err == nil && s.away:
+		s.away = false
+		u.started(s)
+	case errors.Is(err, syscall.ECONNREFUSED) && !s.away:
+		s.away = true
+		u.Due.At(u.Now()+probeEvery, func() { u.probe(s) })
+	}
+}
+
+// probe looks for a server that is away until it is back, or is not listed any more.
+func (u *Upstreams) probe(s *upServer) {
+	if !s.away || !slices.Contains(u.addrs, s.addr) {
+		return
+	}
+	u.connect(s.addr, nil)
+	u.Due.At(u.Now()+probeEvery, func() { u.probe(s) })
+}
+
 func (c *upConn) opened(addr string, sock *socket.Conn, err error) {
 	c.sock = sock
+	c.up.reached(c.server, err)
 	switch {
+	case err != nil && c.closed:
 	case err != nil:
 		c.up.Log.Warn("upstream not reached", zap.String("address", addr), zap.Error(err))
 		c.lost(err)
@@ -148,7 +273,7 @@
 
 func (c *upConn) send() {
 	r := c.run
-	c.sent, c.body = true, r.Body
+	c.sent, c.used, c.body = true, true, r.Body
 	r.sends++
 	headers := [][2]string{{"trace-id", r.Trace}, {"content-length", strconv.Itoa(len(r.Body))}}
 	c.sock.Write(appendForward("/call/"+r.Class, c.up.secret, headers))
@@ -170,9 +295,12 @@
 	if r == nil {
 		return
 	}
-	c := r.conn
-	c.run = nil
-	c.lost(nil)
+	if c := r.conn; c != nil {
+		c.leave()
+		c.lost(nil)
+	} else {
+		u.waiting = slices.DeleteFunc(u.waiting, func(w *upRun) bool { return w == r })
+	}
 	u.end(r, exchange.Stopped, nil)
 }
 
@@ -222,11 +350,14 @@
 	if c.sock != nil {
 		c.sock.Abandon()
 	}
-	r := c.run
+	c.server.conns--
+	if err != nil && c.used && c.server.conns == 0 && !c.server.away && slices.Contains(u.addrs, c.addr) {
+		u.connect(c.addr, nil) // it may have ended: its next start is to be seen
+	}
+	r := c.leave()
 	if r == nil {
 		return
 	}
-	c.run = nil
 	if !c.sent && !c.asked {
 		r.refuse++ // a new connection failed: proof that nothing ran, any run may go elsewhere
 	}
@@ -318,8 +449,8 @@
 }
 
 func (c *upConn) finished(reuse bool) {
-	r, status, result := c.run, c.status, c.result
-	c.run, c.sent, c.body, c.status, c.result = nil, false, nil, 0, nil
+	r, status, result := c.leave(), c.status, c.result
+	c.sent, c.body, c.status, c.result = false, nil, 0, nil
 	end := exchange.OK
 	if status != 200 {
 		end = exchange.Error
--- /dev/null
+++ b/tests/ramp_test.go
@@ -0,0 +1,191 @@
+package tests
+
+import (
+	"bufio"
+	"fmt"
+	"math"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oxbowbridge/internal/ramp"
+)
+
+// sharedUpstream is an AJP server that many services send to, and that notes how many runs
+// it has on its cores. It can end and start again at its address.
+type sharedUpstream struct {
+	t    *testing.T
+	addr string
+	work time.Duration // of each run
+
+	mu      sync.Mutex
+	ln      net.Listener
+	conns   map[net.Conn]bool
+	running int
+	changes []runsAt // since the latest start
+	done    int
+}
+
+// runsAt is how many runs there were from a moment on.
+type runsAt struct {
+	at   time.Time
+	runs int
+}
+
+func (u *sharedUpstream) start() {
+	ln, err := net.Listen("tcp", u.addr)
+	require.NoError(u.t, err)
+	u.mu.Lock()
+	u.ln, u.conns, u.running, u.done = ln, map[net.Conn]bool{}, 0, 0
+	u.changes = []runsAt{{time.Now(), 0}}
+	u.mu.Unlock()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			u.mu.Lock()
+			u.conns[c] = true
+			u.mu.Unlock()
+			go u.serve(c)
+		}
+	}()
+}
+
+// end closes its address and all its connections.
+func (u *sharedUpstream) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.ln.Close()
+	for c := range u.conns {
+		c.Close()
+	}
+	u.conns = nil
+}
+
+// change notes that a run has begun or ended on a connection of the present life.
+func (u *sharedUpstream) change(c net.Conn, by int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.conns[c] {
+		return
+	}
+	u.running += by
+	if by < 0 {
+		u.done++
+	}
+	u.changes = append(u.changes, runsAt{time.Now(), u.running})
+}
+
+func (u *sharedUpstream) serve(raw net.Conn) {
+	defer raw.Close()
+	c := &ajp{Conn: raw, r: bufio.NewReader(raw)}
+	for {
+		p, err := c.packet()
+		if err != nil {
+			return
+		}
+		if p[0] == 10 { // CPING
+			c.Write(ajpPacket("AB", []byte{9}))
+			continue
+		}
+		if _, err := c.packet(); err != nil { // the body
+			return
+		}
+		u.change(raw, 1)
+		time.Sleep(u.work)
+		u.change(raw, -1)
+		c.Write(ajpPacket("AB", append(ajpString([]byte{4, 0, 200}, "OK"), 0, 0)))
+		c.Write(ajpPacket("AB", []byte{3, 0, 2, 'o', 'k', 0}))
+		c.Write(ajpPacket("AB", []byte{5, 1}))
+	}
+}
+
+// most is the largest mean of runs in any window since the start, over what is allowed then.
+func (u *sharedUpstream) most(window time.Duration, allowed func(age time.Duration) float64) (excess, mean float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	began := u.changes[0].at
+	excess = math.Inf(-1)
+	for i, end := range u.changes {
+		from, sum := end.at.Add(-window), 0.0
+		for j := i; j > 0; j-- {
+			begin := u.changes[j-1].at
+			if begin.Before(from) {
+				begin = from
+			}
+			sum += u.changes[j].at.Sub(begin).Seconds() * float64(u.changes[j-1].runs)
+			if u.changes[j-1].at.Before(from) {
+				break
+			}
+		}
+		mean := sum / window.Seconds()
+		excess = max(excess, mean-allowed(end.at.Sub(began)))
+	}
+	last := u.changes[len(u.changes)-1].at.Sub(began).Seconds()
+	for i := 1; i < len(u.changes); i++ {
+		mean += u.changes[i].at.Sub(u.changes[i-1].at).Seconds() * float64(u.changes[i-1].runs) / last
+	}
+	return excess, mean
+}
+
+// TestColdServerUnderThirty: thirty services under load send to one server, which ends and
+// starts again cold. What all of them have there together stays within what the settings
+// allow such a server and what chance adds, twice its root and two, though none knows of
+// the others more than their number.
+func TestColdServerUnderThirty(t *testing.T) {
+	const services, callers = 30, 3
+	limits := ramp.Limits{Cores: 2, Multiple: 8, ColdShare: 0.2, Cold: 5 * time.Second, Window: time.Second, Processes: services}
+	u := &sharedUpstream{t: t, addr: freePort(t), work: 100 * time.Millisecond}
+	u.start()
+	t.Cleanup(u.end)
+	var all []*service
+	for i := range services {
+		all = append(all, start(t, func(cfg object) {
+			cfg["name"], cfg["seed"] = fmt.Sprint("n", i), fmt.Sprintf("%x", 1000+i)
+			cfg["ajp"] = object{"upstreams": []string{u.addr}}
+			cfg["settings"].(object)["servers"] = services
+			cfg["settings"].(object)["family_info"].(object)["cores"] = limits.Cores
+			safety := cfg["settings"].(object)["safety"].(object)
+			safety["cold_ns"], safety["cold_share"] = limits.Cold, limits.ColdShare
+			safety["fall_ns"], safety["fall_multiple"] = limits.Window, limits.Multiple
+		}))
+	}
+	var ended atomic.Bool
+	var load sync.WaitGroup
+	for _, s := range all {
+		s.ready()
+		for range callers {
+			load.Go(func() {
+				for !ended.Load() {
+					if c, err := dialFCGI(s.fcgi); err == nil {
+						c.do("/call/balance-view", fieldsOf(newTrace()), []byte("ok"))
+						c.Close()
+					}
+				}
+			})
+		}
+	}
+	t.Cleanup(func() { ended.Store(true); load.Wait() })
+	await(t, "load", func() bool { u.mu.Lock(); defer u.mu.Unlock(); return u.done > 10*services })
+	u.end()
+	for _, s := range all {
+		await(t, "the news of the end", func() bool { return strings.Contains(s.log(), "upstream not reached") })
+	}
+	u.start()
+	await(t, "a warm server", func() bool { u.mu.Lock(); defer u.mu.Unlock(); return time.Since(u.changes[0].at) > limits.Cold })
+	excess, mean := u.most(limits.Window, func(age time.Duration) float64 {
+		n := limits.Allowed(age)
+		return n + 2*math.Sqrt(n) + 2
+	})
+	t.Logf("mean of runs while cold %.1f, largest excess over the bound %.1f", mean, excess)
+	assert.LessOrEqual(t, excess, 0.0)
+	assert.Greater(t, mean, limits.Allowed(0)/2, "the server is used meanwhile")
+}
