--- a/bench/durable/reads.go
+++ b/bench/durable/reads.go
@@ -40,8 +40,8 @@
 		var took []float64
 		bytes := 0.0
 		for range b.rounds {
-			before, begin := heap(), time.Now()
-			begin = time.Now()
+			before := heap()
+			begin := time.Now()
 			s, err := e.open(path)
 			if err != nil {
 				return err
@@ -84,8 +84,8 @@
 
 // item has the size of an index entry.
 type item struct {
-	key  string
-	rest [4]uint64
+	key string
+	_   [4]uint64
 }
 
 // index compares the persistent tree with plain structures, for what an index does.
--- a/cmd/oxbowbridge/durable.go
+++ b/cmd/oxbowbridge/durable.go
@@ -138,12 +138,12 @@
 	results, ended := make(chan result, loadAhead), make(chan error, 1)
 	ahead := make(chan struct{}, loadAhead)
 	go func() {
-		ended <- tellLoaded(out, func() ([]byte, error, bool, bool) {
+		ended <- tellLoaded(out, func() (loadedKey, bool) {
 			r, ok := <-results
 			if ok {
 				<-ahead
 			}
-			return r.key, r.err, len(results) == 0, ok
+			return loadedKey{r.key, len(results) == 0, r.err}, ok
 		})
 	}()
 	limits := durable.Defaults()
@@ -181,22 +181,29 @@
 	return errors.Join(err, <-ended)
 }
 
+// loadedKey is a key that has become durable, or has not.
+type loadedKey struct {
+	key  []byte
+	last bool // no other waits to be told
+	err  error
+}
+
 // tellLoaded prints keys as they become durable, up to the first that did not.
-func tellLoaded(out io.Writer, next func() (key []byte, err error, last, ok bool)) error {
+func tellLoaded(out io.Writer, next func() (loadedKey, bool)) error {
 	w := bufio.NewWriter(out)
 	var failed error
 	for {
-		key, err, last, ok := next()
+		loaded, ok := next()
 		if !ok {
 			return errors.Join(failed, w.Flush())
 		}
 		if failed == nil {
-			failed = err
+			failed = loaded.err
 		}
 		if failed == nil {
-			fmt.Fprintf(w, "ok %s\n", key)
+			fmt.Fprintf(w, "ok %s\n", loaded.key)
 		}
-		if last {
+		if loaded.last {
 			if err := w.Flush(); err != nil && failed == nil {
 				failed = err
 			}
--- a/internal/ajp/packet.go
+++ b/internal/ajp/packet.go
@@ -41,8 +41,6 @@
 var (
 	requestHeaders = []string{"", "accept", "accept-charset", "accept-encoding", "accept-language", "authorization",
 		"connection", "content-type", "content-length", "cookie", "cookie2", "host", "pragma", "referer", "user-agent"}
-	responseHeaders = []string{"", "content-type", "content-language", "content-length", "date", "last-modified",
-		"location", "set-cookie", "set-cookie2", "servlet-engine", "status", "www-authenticate"}
 	methods = []string{"", "OPTIONS", "GET", "HEAD", "POST", "PUT", "DELETE", "TRACE"}
 
 	errMagic = errors.New("not AJP13")
--- /dev/null
+++ b/internal/core/drain.go
@@ -0,0 +1,91 @@
+package core
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"oxbowbridge/rules"
+)
+
+// Drain takes the notice, which came so long ago, that the process will be stopped after
+// the given time. All is counted from when it came: a turn that was late must not have
+// later requests run. It is called in a Step.
+func (c *Core) Drain(waited, stop time.Duration) {
+	if c.draining {
+		return
+	}
+	noticed := c.Now() - waited
+	c.draining, c.stopAt = true, noticed+stop
+	c.closeAt = min(noticed+c.set.DrainGrace, c.stopAt-stopLead)
+	left := c.stopAt - c.Now()
+	c.Log.Info("drain", zap.Duration("stop_in", left), zap.Int("open", len(c.byID)))
+	if c.Settings.Info.Readiness {
+		c.Directory.Serves(false) // whatever its reports say now is listed at once
+	} else {
+		c.Directory.Shut()
+	}
+	c.tell(rules.Drain{TimeLeft: max(0, left-stopLead), Waited: waited})
+	c.drainTick()
+}
+
+func (c *Core) drainTick() { c.Deadlines.At(c.Now()+drainSweep, c.drainTick) }
+
+// finish closes what is idle once nothing new may run, and ends the process when
+// all connections are closed or the stop is near.
+func (c *Core) finish() {
+	now := c.Now()
+	if now < c.closeAt {
+		return
+	}
+	c.stopListening()
+	left, unsent := c.closeConnections(now)
+	open := c.unanswered()
+	if left > 0 || unsent > 0 || open > 0 {
+		c.emptyAt = 0
+	} else if c.emptyAt == 0 {
+		c.emptyAt = now
+	}
+	empty := c.emptyAt > 0 && now >= c.emptyAt+closeCross
+	if empty || now >= c.stopAt-exitLead {
+		c.Log.Info("drained", zap.Int("open", open), zap.Duration("before_stop", c.stopAt-now))
+		c.done = true
+	}
+}
+
+// stopListening closes the listeners, once. Balancers hear of a drain late: until its grace
+// is over what comes on new connections can still be served.
+func (c *Core) stopListening() {
+	if c.listenersClosed {
+		return
+	}
+	c.listenersClosed = true
+	for _, f := range c.Fronts {
+		f.StopListening()
+	}
+}
+
+// closeConnections ends what is idle, and near the stop what is half done too, which will
+// not be a request any more. It tells how many connections are left, and how many bytes
+// wait to be sent.
+func (c *Core) closeConnections(now time.Duration) (left, unsent int) {
+	left = c.Endings.Sweep(time.Now())
+	for _, f := range c.Fronts {
+		if now >= c.stopAt-exitLead-closeCross {
+			f.Finish()
+		}
+		frontLeft, frontUnsent := f.CloseIdle(0)
+		left, unsent = left+frontLeft, unsent+frontUnsent
+	}
+	return left, unsent
+}
+
+// unanswered counts the requests that are owed an answer.
+func (c *Core) unanswered() (open int) {
+	for _, r := range c.byID {
+		if !r.answered {
+			open++
+		}
+	}
+	return open
+}
--- /dev/null
+++ b/internal/core/keys.go
@@ -0,0 +1,71 @@
+package core
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"oxbowbridge/internal/dedup"
+	"oxbowbridge/internal/exchange"
+	"oxbowbridge/rules"
+)
+
+// claim finds the replay key's place for a try, or answers it if there is none.
+func (c *Core) claim(r *request) bool {
+	now := c.Now()
+	e, verdict := c.keys.Claim(now, dedup.Request{Key: r.Replay, Class: r.Class, Body: r.Body}, r.id)
+	switch verdict {
+	case dedup.First:
+		r.own = e
+	case dedup.Repeat:
+		r.other = e
+	case dedup.Differs:
+		c.Log.Warn("replay key of another request", zap.String("trace", r.Trace))
+		c.turnDown(r.Request, exchange.Answer{Result: exchange.Failed, Fault: true})
+	case dedup.Full:
+		// Guards the memory, and every key that is inside its window.
+		c.Log.Warn("request turned down: no room for its replay key", zap.Int("keys", c.keys.Len()))
+		next, _ := c.keys.Next()
+		c.turnDown(r.Request, exchange.Answer{Result: exchange.Refused, HoldOff: min(max(0, next-now), c.set.AdviceMax)})
+	}
+	return e != nil
+}
+
+// keep notes what came of the try that owns a replay key, and answers those that
+// waited for it. Tries may come while the window is open, which is counted from the
+// arrival of the one that ran, and are never run later than their deadline after that.
+func (c *Core) keep(r *request, result []byte) {
+	if r.own == nil {
+		return
+	}
+	k := &c.set.Classes[r.Class]
+	for _, id := range c.keys.End(r.own, result, r.arrived+k.Window+k.Deadline) {
+		c.shared(c.byID[id])
+	}
+}
+
+// share answers a request with what came of the try that it repeats, now or later.
+func (c *Core) share(now time.Duration, r *request) {
+	if r.other == nil || r.phase != held || r.answered {
+		return
+	}
+	r.phase, r.began = sharing, now
+	if r.other.Ended {
+		c.shared(r)
+	} else {
+		c.keys.Wait(r.other, r.id)
+	}
+}
+
+// shared ends a request that waited for another try.
+func (c *Core) shared(r *request) {
+	if r == nil || r.phase != sharing {
+		return
+	}
+	a, out := exchange.Answer{Result: exchange.Failed}, rules.Internal
+	if r.other.Result != nil {
+		a, out = exchange.Answer{Result: exchange.Served, Body: r.other.Result}, rules.OK
+	}
+	c.tellSoon(rules.Completed{ID: r.id, Took: c.Now() - r.began, Outcome: out})
+	c.settle(r, a)
+}
--- /dev/null
+++ b/internal/core/request.go
@@ -0,0 +1,122 @@
+package core
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"oxbowbridge/internal/deadline"
+	"oxbowbridge/internal/dedup"
+	"oxbowbridge/internal/exchange"
+	"oxbowbridge/rules"
+)
+
+type phase uint8
+
+const (
+	held     phase = iota
+	running        // ordered, and not known to have ended
+	standing       // at a call that isn't made
+	calling        // its call is out
+	paused         // stopped, with its progress kept
+	sharing        // waits for the try that runs in its place
+)
+
+// request is one that is not settled, or whose run goes on after its answer.
+type request struct {
+	*exchange.Request
+	id        uint32
+	phase     phase
+	answered  bool
+	ran       bool
+	suspended bool          // by the module: its end puts it back in the hold
+	arrived   time.Duration // at the machine
+	own       *dedup.Entry  // of its replay key, if it is the first try
+	other     *dedup.Entry  // the same, if another try is
+	began     time.Duration // of the run, then of the call
+	called    time.Duration
+	need      []byte // the body of the call that it stands at
+	expire    *deadline.Entry
+}
+
+func (c *Core) arrive(q *exchange.Request) {
+	_, ran := c.spent[q.Trace]
+	if ran || c.byTrace[q.Trace] != nil {
+		// A caller sends a try again when its connection was closed under it. The
+		// first one may run: this one gets an answer that promises nothing.
+		c.Log.Warn("request came twice", zap.String("trace", q.Trace))
+		c.turnDown(q, exchange.Answer{Result: exchange.Failed, Fault: true})
+		return
+	}
+	for c.lastID++; c.lastID == 0 || c.byID[c.lastID] != nil; c.lastID++ {
+	}
+	r := &request{Request: q, id: c.lastID, arrived: c.Now() - time.Since(q.Arrived)}
+	if c.set.Classes[r.Class].Effect == rules.Deduplicated && !c.claim(r) {
+		return
+	}
+	c.byID[r.id], c.byTrace[r.Trace] = r, r
+	a := rules.Arrive{ID: r.id, Class: q.Class, Tenant: c.tenants[q.Tenant], Hint: q.Hint, Waited: r.arrived, HeldKB: q.HeldKB,
+		Keyed: q.Keyed, Repeat: q.Repeat, Place: q.Place}
+	if c.Settings.Info.PassesDeadline && q.Wait > 0 { // else its class's deadline counts
+		a.TimeLeft = r.arrived + q.Wait
+	}
+	if r.other != nil {
+		a.DupOf = r.other.Owner
+	}
+	c.tell(a)
+}
+
+// turnDown answers a request of which the module never hears.
+func (c *Core) turnDown(q *exchange.Request, a exchange.Answer) {
+	c.Exchange.Settled()
+	q.From.Answer(a)
+}
+
+// gone ends a request whose connection is lost, or that was taken back: no answer
+// can reach its caller, and what it holds is wanted by others.
+func (c *Core) gone(q *exchange.Request) {
+	r := c.byTrace[q.Trace]
+	if r == nil || r.Request != q || r.answered {
+		return
+	}
+	c.settle(r, exchange.Answer{Result: exchange.Failed})
+	c.tell(rules.Lapsed{ID: r.id})
+	if r.phase == standing || r.phase == calling {
+		c.end(r)
+	}
+}
+
+// settle gives the final answer, once.
+func (c *Core) settle(r *request, a exchange.Answer) {
+	if r.answered {
+		return // a DONE after an ABORT, mostly
+	}
+	r.answered = true
+	c.Exchange.Settled()
+	r.From.Answer(a)
+	switch r.phase {
+	case paused:
+		c.Runner.Drop(r.Trace)
+		c.forget(r)
+	case held, sharing:
+		c.forget(r)
+	}
+}
+
+// forget drops what is over. A trace that ran and must not run twice is kept as
+// long as its caller may send it again.
+func (c *Core) forget(r *request) {
+	c.Deadlines.Cancel(r.expire)
+	delete(c.byID, r.id)
+	delete(c.byTrace, r.Trace)
+	if r.phase == sharing {
+		c.keys.Leave(r.other, r.id)
+	}
+	c.keep(r, nil)
+	if !r.ran || c.set.Classes[r.Class].Effect == rules.Idempotent {
+		return
+	}
+	trace := r.Trace
+	c.spent[trace] = struct{}{}
+	c.Deadlines.At(c.Now()+c.set.Classes[r.Class].Deadline, func() { delete(c.spent, trace) })
+}
--- a/internal/lease/model_test.go
+++ b/internal/lease/model_test.go
@@ -226,8 +226,8 @@
 	})
 	add("another leader", func(x *world) {
 		x.changed = r.noVerify
-		s, t := x.real()
-		t = NewTimer(0)
+		s, _ := x.real()
+		t := NewTimer(0)
 		if r.noGrace {
 			t.ends[name] = ending{token: uint64(x.token)}
 		} else {
--- a/tests/linear_test.go
+++ b/tests/linear_test.go
@@ -312,9 +312,9 @@
 	c := newCluster(t, object{})
 	nodes := c.client().Nodes
 	all := "--nodes=" + strings.Join(nodes, ",")
-	out, errs, code := cli(t, "", "store", "put", "note/a", `"one"`, all)
+	_, errs, code := cli(t, "", "store", "put", "note/a", `"one"`, all)
 	require.Zero(t, code, errs)
-	out, errs, code = cli(t, "", "store", "get", "note/a", "--nodes="+nodes[1])
+	out, errs, code := cli(t, "", "store", "get", "note/a", "--nodes="+nodes[1])
 	require.Zero(t, code, errs)
 	assert.Equal(t, "\"one\"\n", out)
 	_, errs, code = cli(t, "", "store", "put", "note/a", `"two"`, "--if-revision=0", all)
