Callers and calls share one pool of connections

Change: descriptors.Pool counts both. A caller that finds the pool full takes the place of one that rests. Calls that wait keep their order.

--- a/cmd/oxbowbridge/serve.go
+++ b/cmd/oxbowbridge/serve.go
@@ -131,6 +131,7 @@
 // wireUp makes the parts and connects them. A notice ends its wait for an address.
 func wireUp(notice context.Context, cfg *config, log *zap.Logger) (*service, error) {
 	shares := divideDescriptors(cfg, log)
+	pool := descriptors.NewPool(shares)
 	loop, err := socket.New(shares.Ended)
 	if err != nil {
 		return nil, err
@@ -150,7 +151,7 @@
 	if cfg.Settings.Info.Below == "shared" {
 		lingers = cfg.Settings.Info.Linger
 	}
-	calls := records.New(cfg.Records, shares.Calls, lingers, env)
+	calls := records.New(cfg.Records, pool, lingers, env)
 	list := directory.New(cfg.Lookup, cfg.Name, env)
 	p.Runner, p.Calls, p.Directory = runner, calls, list
 	fronts := frontsOf(cfg, x, classes, log)
@@ -163,7 +164,7 @@
 	}
 	for _, f := range fronts {
 		wait := time.Duration(cfg.StopMS)*time.Millisecond + predecessorSlack
-		if err := f.listen(notice, loop, shares.Callers/len(fronts), wait, log); err != nil {
+		if err := f.listen(notice, loop, pool.CallersMost()/len(fronts), pool, wait, log); err != nil {
 			return nil, fmt.Errorf("%w: %s: %w", errConfig, f.field, err)
 		}
 		log.Info("listening", zap.String("front", f.field), zap.Stringer("address", f.front.Addr()))
@@ -258,7 +259,7 @@
 type listener struct {
 	front interface {
 		core.Front
-		Listen(loop *socket.Loop, addr string, most int) error
+		Listen(loop *socket.Loop, addr string, most int, pool *descriptors.Pool) error
 		Addr() net.Addr
 	}
 	field string // of the configuration
@@ -267,10 +268,10 @@
 
 // listen opens the front's address. Another process that holds it may be this one's
 // predecessor, which is gone once its own stop_ms are over: until then it tries again.
-func (f listener) listen(notice context.Context, loop *socket.Loop, most int, wait time.Duration, log *zap.Logger) error {
+func (f listener) listen(notice context.Context, loop *socket.Loop, most int, pool *descriptors.Pool, wait time.Duration, log *zap.Logger) error {
 	deadline := time.Now().Add(wait)
 	for warned := false; ; warned = true {
-		err := f.front.Listen(loop, f.addr, most)
+		err := f.front.Listen(loop, f.addr, most, pool)
 		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
 			return err
 		}
--- a/internal/ajp/front.go
+++ b/internal/ajp/front.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"oxbowbridge/internal/descriptors"
 	"oxbowbridge/internal/exchange"
 	"oxbowbridge/internal/front"
 	"oxbowbridge/internal/socket"
@@ -32,8 +33,8 @@
 }
 
 // Listen takes connections on the address.
-func (f *Front) Listen(loop *socket.Loop, addr string, most int) error {
-	return f.Conns.Listen(loop, addr, most, f.log, func(s *socket.Conn) interface {
+func (f *Front) Listen(loop *socket.Loop, addr string, most int, pool *descriptors.Pool) error {
+	return f.Conns.Listen(loop, addr, most, pool, f.log, func(s *socket.Conn) interface {
 		front.Conn
 		socket.Handler
 	} {
--- a/internal/fastcgi/front.go
+++ b/internal/fastcgi/front.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"oxbowbridge/internal/descriptors"
 	"oxbowbridge/internal/exchange"
 	"oxbowbridge/internal/front"
 	"oxbowbridge/internal/socket"
@@ -35,8 +36,8 @@
 }
 
 // Listen takes connections on the address.
-func (f *Front) Listen(loop *socket.Loop, addr string, most int) error {
-	return f.Conns.Listen(loop, addr, most, f.log, func(s *socket.Conn) interface {
+func (f *Front) Listen(loop *socket.Loop, addr string, most int, pool *descriptors.Pool) error {
+	return f.Conns.Listen(loop, addr, most, pool, f.log, func(s *socket.Conn) interface {
 		front.Conn
 		socket.Handler
 	} {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"oxbowbridge/internal/descriptors"
 	"oxbowbridge/internal/exchange"
 	"oxbowbridge/internal/socket"
 )
@@ -342,28 +343,31 @@
 	conns map[Conn]struct{}
 	ln    net.Listener
 	most  int
+	pool  *descriptors.Pool // of connections, with calls and other fronts
 	log   *zap.Logger
 
 	closing bool // the listener is, and still takes what has come
 }
 
-// Listen opens the listener. Connections beyond so many take the place of others,
-// which leaves descriptors for the links of the client side.
-func (s *Conns) Listen(loop *socket.Loop, addr string, most int, log *zap.Logger, handle func(*socket.Conn) interface {
+// Listen opens the listener. Connections beyond so many, or beyond what the pool has, take
+// the place of others, which leaves descriptors for the links of the client side.
+func (s *Conns) Listen(loop *socket.Loop, addr string, most int, pool *descriptors.Pool, log *zap.Logger, handle func(*socket.Conn) interface {
 	Conn
 	socket.Handler
 }) error {
-	s.conns, s.most, s.log = map[Conn]struct{}{}, most, log
+	s.conns, s.most, s.pool, s.log = map[Conn]struct{}{}, most, pool, log
 	ln, err := loop.Listen(addr, func(c *socket.Conn) socket.Handler {
 		h := handle(c)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if len(s.conns) >= s.most && !s.makeRoom() {
+		full := len(s.conns) >= s.most || !s.pool.CallerFits()
+		if full && !s.makeRoom() {
 			log.Warn("connection not taken", zap.Int("most", most))
 			c.End() // nothing runs, and a request that is on its way is sent again elsewhere
 			return h
 		}
 		s.conns[h] = struct{}{}
+		s.pool.Callers(1)
 		return h
 	}, func(err error) { log.Warn("connection not taken", zap.Error(err)) })
 	if err != nil {
@@ -383,10 +387,10 @@
 	silent, rest := s.longestIdle()
 	switch {
 	case silent != nil && s.outOfTime(silent, now) && silent.CloseIdle(now, 0):
-		delete(s.conns, silent)
+		s.forget(silent)
 		return true
 	case rest != nil && rest.CloseIdle(now, 0):
-		delete(s.conns, rest)
+		s.forget(rest)
 		return true
 	}
 	return s.makeRoomAnyhow(now)
@@ -423,14 +427,14 @@
 	}
 	for _, c := range slices.Concat(silent[:young], rest, silent[young:]) {
 		if c.CloseIdle(now, 0) {
-			delete(s.conns, c)
+			s.forget(c)
 			return true
 		}
 	}
 	for _, c := range silent {
 		if !c.Unread() { // else a whole request may lie there: its caller can't know that nothing ran
 			c.Finish()
-			delete(s.conns, c)
+			s.forget(c)
 			return true
 		}
 	}
@@ -495,10 +499,18 @@
 // Remove forgets a connection that is closed.
 func (s *Conns) Remove(c Conn) {
 	s.mu.Lock()
-	delete(s.conns, c)
+	s.forget(c)
 	s.mu.Unlock()
 }
 
+// forget counts a connection no more. The lock is held.
+func (s *Conns) forget(c Conn) {
+	if _, ok := s.conns[c]; ok {
+		delete(s.conns, c)
+		s.pool.Callers(-1)
+	}
+}
+
 // StopListening takes what has come by now, and no more connections. It does not wait for
 // that: until it is done CloseIdle counts the listener as left.
 func (s *Conns) StopListening() {
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"oxbowbridge/internal/deadline"
+	"oxbowbridge/internal/descriptors"
 	"oxbowbridge/internal/exchange"
 	"oxbowbridge/internal/lines"
 	"oxbowbridge/internal/link"
@@ -68,9 +69,8 @@
 type Link struct {
 	link.Env
 	addr    string
-	most    int // connections, as many as calls in hand; further ones wait
+	pool    *descriptors.Pool // of connections, as many as calls in hand; further ones wait
 	lingers time.Duration
-	open    int
 	calls   map[string]*call
 	waiting []*call       // without a connection, oldest first
 	free    []*conn       // the latest used last
@@ -78,12 +78,12 @@
 	dev     time.Duration // its mean deviation
 }
 
-// New returns a Link that connects when calls come, to so many connections at
-// most. Without an address no call is made. What is given up may stay in the hands of
+// New returns a Link that connects when calls come, as far as the pool has connections for
+// them. Without an address no call is made. What is given up may stay in the hands of
 // a service that all share for as long as lingers says, and counts there: a call is
 // made again only after that, so that each request has one at a time.
-func New(addr string, most int, lingers time.Duration, env link.Env) *Link {
-	return &Link{Env: env, addr: addr, most: most, lingers: lingers, calls: map[string]*call{}, mean: firstGuess, dev: firstGuess / 2}
+func New(addr string, pool *descriptors.Pool, lingers time.Duration, env link.Env) *Link {
+	return &Link{Env: env, addr: addr, pool: pool, lingers: lingers, calls: map[string]*call{}, mean: firstGuess, dev: firstGuess / 2}
 }
 
 // Move has new calls go to another address. Those in hand stay where they are.
@@ -107,6 +107,13 @@
 
 // place gives a call a connection, or has it wait for one.
 func (l *Link) place(k *call) {
+	if !l.placed(k) {
+		l.waiting = append(l.waiting, k)
+	}
+}
+
+// placed tells whether a call found a connection, or can't have one at all.
+func (l *Link) placed(k *call) bool {
 	// Guards against connections that were forgotten while they were free: the
 	// call that finds out may not be made again unless it is safe. Copies of an
 	// earlier reply under the same trace must not pass for this call's.
@@ -114,22 +121,26 @@
 	for i >= 0 && (!k.Safe || l.free[i].last == k.Trace) {
 		i--
 	}
-	switch {
-	case i >= 0:
+	if i >= 0 {
 		c := l.free[i]
 		l.take(c)
 		c.begin(k)
-	case l.addr == "":
+		return true
+	}
+	if l.addr == "" {
 		delete(l.calls, k.Trace)
 		l.Exchange.Post(exchange.Outcome{Trace: k.Trace, Stage: exchange.Called, End: exchange.Unreachable})
-	case l.open < l.most:
-		l.connect(k)
-	case len(l.free) > 0:
+		return true
+	}
+	room := l.pool.TakeCall()
+	if !room && len(l.free) > 0 {
 		l.free[0].close() // its place is for this call, not for one that waits
+		room = l.pool.TakeCall()
+	}
+	if room {
 		l.connect(k)
-	default:
-		l.waiting = append(l.waiting, k)
 	}
+	return room
 }
 
 // take takes a connection from the free ones.
@@ -138,8 +149,8 @@
 	l.free = slices.DeleteFunc(l.free, func(f *conn) bool { return f == c })
 }
 
+// connect connects for a call, whose place in the pool is taken.
 func (l *Link) connect(k *call) {
-	l.open++
 	c := &conn{link: l, addr: l.addr, call: k}
 	k.conn = c
 	l.Dial(c.addr, &link.Lines{Env: l.Env, Parser: lines.Parser{Long: long}, Read: c.read, Lost: c.lost,
@@ -222,7 +233,7 @@
 // close closes the connection and frees its place.
 func (c *conn) close() {
 	c.gone = true
-	c.link.open--
+	c.link.pool.EndCall()
 	c.link.take(c)
 	if c.sock != nil {
 		c.sock.End()
@@ -248,12 +259,10 @@
 	l.next()
 }
 
-// next places what waits, if there is room.
+// next places the call that waits for longest, if there is room.
 func (l *Link) next() {
-	if len(l.waiting) > 0 && (l.open < l.most || len(l.free) > 0) {
-		k := l.waiting[0]
+	if len(l.waiting) > 0 && l.placed(l.waiting[0]) {
 		l.waiting = l.waiting[1:]
-		l.place(k)
 	}
 }
 
