A closing listener takes what comes while it takes, in a bounded number of rounds

The mend of the endless queue took what was queued at the first look and closed; what came while it took them was reset. Before, the queue was emptied, which had no end under a flood.

Change: it looks again after each round, sixteen times at most; without a flood the queue is empty after one or two. TestCloseUnderFlood asked for exactly what had come at the first look, which was the fault; it asks for exactly sixteen rounds of it now. New: TestCloseTakesWhatComesMeanwhile. The look for queued bytes, which stood twice in socket.go, is one function.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -30,6 +30,9 @@
 	// lingerBound times the wanted number of ended connections are never exceeded, however
 	// short the time since their ends: descriptors that are kept for links must stay free.
 	lingerBound = 2
+	// closeRounds is how often a closing listener looks whether more has come while it took
+	// what had: where nobody floods it, the queue is empty after one or two.
+	closeRounds = 16
 	// queueMost is how many connections a closing listener takes from the system's queue if
 	// the system does not tell how many there are.
 	queueMost = 128
@@ -135,16 +138,16 @@
 // bytes and not handed them over whole.
 func (c *Conn) Unread() bool {
 	// In this order: what leaves the system's queue is in the loop's hands before.
-	return c.queued() || c.loop.reading.Load() == c.nb
+	c.nb.Lock()
+	closed, _ := c.nb.IsClosed()
+	queued := !closed && c.queued()
+	c.nb.Unlock()
+	return queued || c.loop.reading.Load() == c.nb
 }
 
-// queued tells whether bytes wait in the system's queue.
+// queued tells whether bytes wait in the system's queue. nbio's lock is held, and the
+// connection is not closed.
 func (c *Conn) queued() bool {
-	c.nb.Lock()
-	defer c.nb.Unlock()
-	if closed, _ := c.nb.IsClosed(); closed {
-		return false
-	}
 	n, err := unix.IoctlGetInt(c.nb.Hash(), unix.SIOCINQ)
 	return err == nil && n > 0
 }
@@ -187,10 +190,7 @@
 		return false, true
 	}
 	if closed, _ := c.nb.IsClosed(); !closed {
-		if !c.added || c.pending > 0 || c.loop.reading.Load() == c.nb {
-			return false, false
-		}
-		if n, err := unix.IoctlGetInt(c.nb.Hash(), unix.SIOCINQ); err == nil && n > 0 {
+		if !c.added || c.pending > 0 || c.loop.reading.Load() == c.nb || c.queued() {
 			return false, false
 		}
 		syscall.Shutdown(c.nb.Hash(), syscall.SHUT_WR)
@@ -477,8 +477,8 @@
 	done chan struct{} // closed once nothing is taken any more
 }
 
-// Close takes what the system has accepted by now, and no more: callers that go on
-// connecting can't keep it from returning. Connections that were left in the system's
+// Close takes what the system has accepted, and comes to an end however fast callers go on
+// connecting. Connections that were left in the system's
 // queue would be reset under the requests on them.
 func (l *Listener) Close() error {
 	if tcp, ok := l.Listener.(*net.TCPListener); ok {
@@ -491,8 +491,20 @@
 	return err
 }
 
+// takeQueued takes what has come, and what comes meanwhile as long as callers give the
+// queue a chance to empty.
 func takeQueued(listener int, take func(net.Conn)) {
-	for range queued(listener) {
+	for range closeRounds {
+		n := queued(listener)
+		if n == 0 || !takeSome(listener, n, take) {
+			return
+		}
+	}
+}
+
+// takeSome takes so many connections, and tells whether there may be more.
+func takeSome(listener, n int, take func(net.Conn)) bool {
+	for range n {
 		fd, _, err := syscall.Accept4(listener, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 		switch err {
 		case nil:
@@ -501,9 +513,10 @@
 			}
 		case syscall.EINTR, syscall.ECONNABORTED: // says nothing of those behind it
 		default:
-			return // the queue is empty, or descriptors have run out
+			return false // the queue is empty, or descriptors have run out
 		}
 	}
+	return true
 }
 
 // queued is how many connections wait in a listener's queue: what the kernel reports as
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -66,7 +66,32 @@
 		connect()
 	}
 	require.NoError(t, ln.Close())
-	require.Equal(t, waiting, taken, "what had come when it was closed")
+	require.Equal(t, closeRounds*waiting, taken, "what comes while it takes is taken too, so many times")
+}
+
+// TestCloseTakesWhatComesMeanwhile: a connection that comes while the closing listener takes
+// those before it is taken, not reset.
+func TestCloseTakesWhatComesMeanwhile(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0") // nobody accepts
+	require.NoError(t, err)
+	done := make(chan struct{})
+	close(done)
+	const late = 5
+	connect := func() {
+		c, err := net.Dial("tcp", raw.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+	}
+	taken := 0
+	ln := &Listener{Listener: raw, done: done, take: func(c net.Conn) {
+		c.Close()
+		if taken++; taken <= late {
+			connect()
+		}
+	}}
+	connect()
+	require.NoError(t, ln.Close())
+	require.Equal(t, 1+late, taken)
 }
 
 // TestAbandonBeforeAdded: a connection that is given up before the loop has it is closed
