--- a/internal/ajp/upstream.go
+++ b/internal/ajp/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"syscall"
@@ -115,6 +116,7 @@
 		}
 	}
 	u.addrs, u.secret = addrs, secret
+	maps.DeleteFunc(u.servers, func(addr string, _ *upServer) bool { return !slices.Contains(addrs, addr) })
 	for _, c := range slices.Clone(u.free) {
 		if !slices.Contains(addrs, c.addr) {
 			c.lost(nil)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -386,7 +386,7 @@
 	now := time.Now()
 	silent, rest := s.longestIdle()
 	switch {
-	case silent != nil && s.outOfTime(silent, now) && silent.CloseIdle(now, 0):
+	case silent != nil && outOfTime(silent, now) && silent.CloseIdle(now, 0):
 		s.forget(silent)
 		return true
 	case rest != nil && rest.CloseIdle(now, 0):
@@ -413,7 +413,7 @@
 }
 
 // outOfTime tells whether a connection has had the time for its first bytes.
-func (s *Conns) outOfTime(c Conn, now time.Time) bool {
+func outOfTime(c Conn, now time.Time) bool {
 	at, _ := c.LastUsed()
 	return now.Sub(at) >= firstWords
 }
@@ -421,7 +421,7 @@
 // makeRoomAnyhow looks at all connections, where those idle for longest are in use after all.
 func (s *Conns) makeRoomAnyhow(now time.Time) bool {
 	silent, rest := s.byUse()
-	young := slices.IndexFunc(silent, func(c Conn) bool { return !s.outOfTime(c, now) })
+	young := slices.IndexFunc(silent, func(c Conn) bool { return !outOfTime(c, now) })
 	if young < 0 {
 		young = len(silent)
 	}
