--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -22,6 +22,11 @@
 	Cores int
 	// RunDuration is how long each of them runs.
 	RunDuration time.Duration
+	// DrawDuration is called for the duration of each run in place of RunDuration, if it is set.
+	DrawDuration func() time.Duration
+	// DrawDelay is called for the time that passes before each command is carried out, and those
+	// behind it on the same connection, if it is set.
+	DrawDelay func() time.Duration
 	// CallingClasses are the classes whose runs call the records service half way.
 	CallingClasses []string
 	// OnRun is called at the begin of each run, if it is set. It must not block.
@@ -48,6 +53,9 @@
 
 // handle carries out one command of the service.
 func (e *Engine) handle(conn net.Conn, command lineCommand) {
+	if e.DrawDelay != nil {
+		time.Sleep(e.DrawDelay())
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch command.name() {
@@ -100,7 +108,7 @@
 func (e *Engine) run(id, class string, body []byte, reply chan []byte) {
 	e.cores <- struct{}{}
 	defer func() { <-e.cores }()
-	time.Sleep(e.RunDuration)
+	time.Sleep(e.duration())
 	result := fmt.Appendf(nil, "%s done: %s", class, body)
 	if slices.Contains(e.CallingClasses, class) {
 		e.sendCall(id, body)
@@ -117,6 +125,13 @@
 	e.finish(id, "OK", result)
 }
 
+func (e *Engine) duration() time.Duration {
+	if e.DrawDuration != nil {
+		return e.DrawDuration()
+	}
+	return e.RunDuration
+}
+
 func (e *Engine) sendCall(id string, body []byte) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/records_service.go
+++ b/internal/standin/records_service.go
@@ -6,10 +6,25 @@
 	"time"
 )
 
-// RecordsService answers every call with "recorded".
+// CallResult is how a call to the records service ends, as the protocol names it.
+type CallResult string
+
+// The results of a call.
+const (
+	CallDone     CallResult = "DONE"  // with the reply "recorded"
+	CallRejected CallResult = "WAIT"  // it never ran
+	CallFailed   CallResult = "ERROR" // it may have had its effect
+	// CallLost is no word of the protocol: the connection ends without a reply, and the call may
+	// have had its effect.
+	CallLost CallResult = ""
+)
+
+// RecordsService answers every call with "recorded", or as DrawResult says.
 type RecordsService struct {
 	// ResponseDelay is the time from a call to its answer.
 	ResponseDelay time.Duration
+	// DrawResult is called for the result of each call, if it is set. It must not block.
+	DrawResult func(traceID string) CallResult
 }
 
 // Serve accepts connections until the listener is closed.
@@ -21,8 +36,23 @@
 				return
 			}
 			time.Sleep(s.ResponseDelay)
-			const body = "recorded"
-			fmt.Fprintf(conn, "%s DONE %d\r\n%s\r\n", command.id(), len(body), body)
+			s.reply(conn, command.id())
 		})
 	})
 }
+
+func (s *RecordsService) reply(conn net.Conn, traceID string) {
+	result := CallDone
+	if s.DrawResult != nil {
+		result = s.DrawResult(traceID)
+	}
+	switch result {
+	case CallDone:
+		const body = "recorded"
+		fmt.Fprintf(conn, "%s %s %d\r\n%s\r\n", traceID, result, len(body), body)
+	case CallLost:
+		conn.Close()
+	default:
+		fmt.Fprintf(conn, "%s %s\r\n", traceID, result)
+	}
+}
--- a/internal/testrig/link.go
+++ b/internal/testrig/link.go
@@ -15,6 +15,9 @@
 	// stay half open.
 	HoldRequests  bool
 	HoldResponses bool
+	// CutAfterBytes ends the connections behind so many more bytes, counted both ways, and
+	// heals the link then; 0 is never.
+	CutAfterBytes int
 	// Delay is added to each read, each way.
 	Delay time.Duration
 	// BytesPerSecond bounds the rate, each way; 0 is no bound.
@@ -139,6 +142,7 @@
 		}
 		mode := l.mode
 		down := l.isDown()
+		passed, cut := l.countBytes(n)
 		l.mu.Unlock()
 		if down || err != nil {
 			return
@@ -148,8 +152,23 @@
 			delay += time.Duration(n) * time.Second / time.Duration(mode.BytesPerSecond)
 		}
 		time.Sleep(delay)
-		if _, err := to.Write(buffer[:n]); err != nil {
+		if _, err := to.Write(buffer[:passed]); err != nil || cut {
 			return
 		}
 	}
 }
+
+// countBytes returns how many of n bytes pass before the connections end by CutAfterBytes, and
+// whether they end behind these. The lock is held.
+func (l *Link) countBytes(n int) (passed int, cut bool) {
+	if l.mode.CutAfterBytes == 0 {
+		return n, false
+	}
+	if n < l.mode.CutAfterBytes {
+		l.mode.CutAfterBytes -= n
+		return n, false
+	}
+	passed = l.mode.CutAfterBytes
+	l.mode.CutAfterBytes = 0
+	return passed, true
+}
