A command that the engine may have read is sent again only where it may happen twice

A run with two calls could get the reply to the first as that to the second, and its caller a wrong result.

Cause: resync repeated RUN and FEED on the strength of the answer to STAT sync. The run may end, or go on to its next call, between that answer and the repeated command.

The polls for the gauges, which are sent anyway, are enough to leave alone what was read.

Change: package delivery, pure, knows of each command: not sent, sent, unconfirmed, read. Read is never repeated while the notices are complete. Unconfirmed is repeated where the class may run twice; RUN of another class, and any FEED, is awaited: longer than runs of its class take while others do end (the records client's estimator, now shared), at most until the request is due; then the request fails, never rejected. Whether a class may is decided from its effect in one place (mayRepeat); a deduplicated one may not. A message on a connection that is not open yet is dropped.

--- a/internal/proxy/dispatch/arrival.go
+++ b/internal/proxy/dispatch/arrival.go
@@ -82,7 +82,7 @@
 		},
 		arrivedAt: r.arrivedAt,
 	}
-	if d.SiteSettings.Server.PassesDeadline && r.Timeout > 0 {
+	if d.passesTimeout(r) {
 		p.callerTimeoutAt = r.arrivedAt + r.Timeout
 	}
 	if r.originalEntry != nil {
@@ -91,6 +91,19 @@
 	return p
 }
 
+// passesTimeout tells whether the caller's own timeout counts.
+func (d *Dispatcher) passesTimeout(r *request) bool {
+	return d.SiteSettings.Server.PassesDeadline && r.Timeout > 0
+}
+
+// dueAt is when the request must have its response.
+func (d *Dispatcher) dueAt(r *request) time.Duration {
+	if d.passesTimeout(r) {
+		return r.arrivedAt + r.Timeout
+	}
+	return r.arrivedAt + d.controllerSettings.Classes[r.Class].Deadline
+}
+
 // at completes the event for a call of the controller.
 func (p pendingArrival) at(now time.Duration) admission.Arrival {
 	a := p.Arrival
--- a/internal/proxy/dispatch/atmostonce.go
+++ b/internal/proxy/dispatch/atmostonce.go
@@ -9,7 +9,14 @@
 //     (isDuplicateTrace), also after the first was forgotten (markSpent);
 //   - an attempt that was started is not started again (mayStart);
 //   - an attempt that duplicates another by its idempotency key is not started (mayStart);
-//   - no response promises that nothing ran when something may have (mayRejectSafely).
+//   - no response promises that nothing ran when something may have (mayRejectSafely);
+//   - a run or call that may have happened is not sent again by a session (Job.Idempotent).
+//
+// A deduplicated class is one of them: its key keeps callers' attempts apart, and not what this
+// process sends twice.
+
+// mayRepeat tells whether runs and calls of the request may happen more than once.
+func (d *Dispatcher) mayRepeat(r *request) bool { return d.effect(r) == admission.Idempotent }
 
 // isDuplicateTrace tells whether an attempt with this trace id is recorded or has run.
 // Callers send an attempt again when its connection was closed before a response: the first
@@ -24,20 +31,20 @@
 	if !r.state.permits(startRun) || r.answered {
 		return false
 	}
-	return d.effect(r) == admission.Idempotent || !r.started && r.originalEntry == nil
+	return d.mayRepeat(r) || !r.started && r.originalEntry == nil
 }
 
 // mayRejectSafely tells whether a response may promise that nothing ran: neither this
 // attempt nor the one that it duplicates.
 func (d *Dispatcher) mayRejectSafely(r *request) bool {
 	mayHaveRun := r.started || r.originalEntry != nil && r.originalEntry.Started
-	return d.effect(r) == admission.Idempotent || !mayHaveRun
+	return d.mayRepeat(r) || !mayHaveRun
 }
 
 // markSpent keeps the trace id of an attempt that ran for as long as its caller may send it
 // again: the deadline of its class.
 func (d *Dispatcher) markSpent(r *request) {
-	if !r.started || d.effect(r) == admission.Idempotent {
+	if !r.started || d.mayRepeat(r) {
 		return
 	}
 	traceID := r.TraceID
--- a/internal/proxy/dispatch/calls.go
+++ b/internal/proxy/dispatch/calls.go
@@ -38,7 +38,7 @@
 	r.calledAt = now
 	d.Dependency.Call(exchange.Job{
 		TraceID:    r.TraceID,
-		Idempotent: d.effect(r) == admission.Idempotent,
+		Idempotent: d.mayRepeat(r),
 		Timeout:    expiry - now,
 		Body:       r.callBody,
 	})
--- a/internal/proxy/dispatch/runs.go
+++ b/internal/proxy/dispatch/runs.go
@@ -25,7 +25,8 @@
 	d.Runner.Run(exchange.Job{
 		TraceID:    r.TraceID,
 		Class:      d.SiteSettings.Classes[r.Class].Name,
-		Idempotent: d.effect(r) == admission.Idempotent,
+		Idempotent: d.mayRepeat(r),
+		Timeout:    d.dueAt(r) - now,
 		Body:       r.Body,
 	})
 }
--- a/internal/proxy/exchange/job.go
+++ b/internal/proxy/exchange/job.go
@@ -8,9 +8,11 @@
 	TraceID string
 	// Class is the name of the request's class. Calls have none.
 	Class string
-	// Idempotent says that the job may be sent again after it may have run.
+	// Idempotent says that the job may be sent again after it may have run. It is not for a class
+	// with idempotency keys: these tell apart what callers send, not what a session sends again.
 	Idempotent bool
-	// Timeout is how long the job may take. Runs have none.
+	// Timeout is how long the job may take. A run goes on after it, as long as the runner knows of
+	// it; one that may be lost is not awaited any longer.
 	Timeout time.Duration
 	// Body is the request's for a run, and the run's for a call.
 	Body []byte
--- a/internal/transport/engine/receive.go
+++ b/internal/transport/engine/receive.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"oxbowbridge/internal/proxy/exchange"
+	"oxbowbridge/internal/transport/engine/delivery"
 	"oxbowbridge/internal/transport/lineproto"
 )
 
@@ -43,11 +44,11 @@
 	s.greeted = true
 	s.reconnectDelay = minReconnectDelay
 	for _, r := range s.runs {
-		if r.runSentOn == noConn {
+		if r.order.State() == delivery.NotSent {
 			s.sendRun(r)
 		}
 	}
-	s.send(commandStats, tagSync)
+	s.poll(tagSync)
 	if s.ready {
 		return
 	}
@@ -57,6 +58,7 @@
 }
 
 func (s *Session) receiveStats(words []string) {
+	s.delivered.PollAnswered()
 	if words[1] == tagSync {
 		s.resync()
 		return
@@ -95,10 +97,10 @@
 // receiveCall reports the call that a run waits for.
 func (s *Session) receiveCall(traceID string, body []byte) {
 	if r := s.runs[traceID]; r != nil {
-		r.started = true
+		s.confirmed(r)
+		r.hasReply = false
 		r.reply = nil
-		r.replyOn = noConn
-		r.resumeOn = noConn
+		r.resumes = false
 	}
 	s.Exchange.Post(exchange.Outcome{TraceID: traceID, Stage: exchange.CallNeeded, Body: body})
 }
@@ -111,12 +113,15 @@
 		s.logNotUnderstood(m.Words)
 	}
 	r := s.runs[done.traceID]
+	if r != nil {
+		s.observeEnd(r)
+	}
 	paused := done.result == exchange.ResultStopped && s.pausesOnStop && r != nil && r.stopping && !r.answered
 	if !paused {
 		s.report(done)
 		return
 	}
-	r.started = true
+	s.confirmed(r)
 	r.stopping = false
 	s.post(done)
 }
--- a/internal/transport/engine/run.go
+++ b/internal/transport/engine/run.go
@@ -1,27 +1,42 @@
 package engine
 
-import "oxbowbridge/internal/proxy/exchange"
+import (
+	"time"
 
-// pending, in place of the number of a connection, marks a command that is wanted and was not
-// sent on any connection so far. noConn marks one that is not wanted.
-const pending connNumber = -1
+	"oxbowbridge/internal/proxy/exchange"
+	"oxbowbridge/internal/proxy/timerqueue"
+	"oxbowbridge/internal/transport/engine/delivery"
+)
 
-// run is a run that was ordered and has not ended. Each command for it carries the number of the
-// connection that it was sent on last, for resync.
+// run is a run that was ordered and has not ended. Each command for it is followed until the
+// engine is known to have read it (see package delivery).
 type run struct {
-	job       exchange.Job
-	runSentOn connNumber // noConn if it was never sent
-	started   bool       // a notice has shown that it runs, or ran
-	stopping  bool       // it is to be stopped, and no notice has confirmed that
-	answered  bool       // its request is answered: it is not resumed
-	resumeOn  connNumber // noConn if nothing is to be resumed, pending, or the connection of RESUME
-	reply     []byte     // to the call that the run waits for
-	replyOn   connNumber // noConn if there is no reply, pending, or the connection of FEED
+	job          exchange.Job
+	orderedAt    time.Duration
+	deadline     time.Duration    // when its request is due; it is not awaited any longer
+	order        delivery.Command // RUN
+	stopping     bool             // it is to be stopped, and no notice has confirmed that
+	answered     bool             // its request is answered: it is not resumed
+	resumes      bool             // it is to go on, and no notice has confirmed that
+	resume       delivery.Command // RESUME, if it resumes
+	hasReply     bool             // there is a reply to the call that it waits for
+	reply        []byte
+	feed         delivery.Command  // FEED, if there is a reply
+	awaiting     *timerqueue.Timer // gives it up if no notice shows that a command was read; or nil
+	awaitedSince time.Duration     // if awaiting
+}
+
+// effect says whether a repeated RUN does harm.
+func (r *run) effect() delivery.Effect {
+	if r.job.Idempotent {
+		return delivery.Repeatable
+	}
+	return delivery.Once
 }
 
 // Run orders a run. Without a connection it waits for one: what was never sent can't have run.
 func (s *Session) Run(a exchange.Job) {
-	r := &run{job: a}
+	r := &run{job: a, orderedAt: s.Now(), deadline: s.Now() + a.Timeout}
 	s.runs[a.TraceID] = r
 	if s.greeted {
 		s.sendRun(r)
@@ -29,7 +44,7 @@
 }
 
 func (s *Session) sendRun(r *run) {
-	r.runSentOn = s.current
+	r.order.Written(&s.delivered)
 	s.sendPayload(r.job.Body, commandRun, r.job.TraceID, r.job.Class)
 }
 
@@ -41,8 +56,8 @@
 	}
 	r.stopping = true
 	r.answered = r.answered || answered
-	r.resumeOn = noConn
-	if r.runSentOn == noConn { // the engine has never heard of it
+	r.resumes = false
+	if r.order.State() == delivery.NotSent { // the engine has never heard of it
 		s.finish(traceID, exchange.ResultStopped)
 		return
 	}
@@ -57,19 +72,20 @@
 	if r == nil {
 		return
 	}
-	r.resumeOn = pending
+	r.resumes = true
+	r.resume = delivery.Command{}
 	if s.greeted {
 		s.sendResume(r)
 	}
 }
 
 func (s *Session) sendResume(r *run) {
-	r.resumeOn = s.current
+	r.resume.Written(&s.delivered)
 	s.send(commandResume, r.job.TraceID)
 }
 
 // Discard forgets a run that is paused: its request is over.
-func (s *Session) Discard(traceID string) { delete(s.runs, traceID) }
+func (s *Session) Discard(traceID string) { s.forget(traceID) }
 
 // DeliverReply gives a run the reply to the call that it waits for.
 func (s *Session) DeliverReply(traceID string, reply []byte) {
@@ -77,15 +93,16 @@
 	if r == nil {
 		return
 	}
+	r.hasReply = true
 	r.reply = reply
-	r.replyOn = pending
+	r.feed = delivery.Command{}
 	if s.greeted {
 		s.sendReply(r)
 	}
 }
 
 func (s *Session) sendReply(r *run) {
-	r.replyOn = s.current
+	r.feed.Written(&s.delivered)
 	s.sendPayload(r.reply, commandDeliverReply, r.job.TraceID)
 }
 
@@ -96,10 +113,17 @@
 
 // report forgets a run and reports its end.
 func (s *Session) report(done completion) {
-	delete(s.runs, done.traceID)
+	s.forget(done.traceID)
 	s.post(done)
 }
 
+func (s *Session) forget(traceID string) {
+	if r := s.runs[traceID]; r != nil {
+		s.Timers.Cancel(r.awaiting)
+		delete(s.runs, traceID)
+	}
+}
+
 func (s *Session) post(done completion) {
 	s.Exchange.Post(exchange.Outcome{
 		TraceID:  done.traceID,
--- a/internal/transport/engine/session.go
+++ b/internal/transport/engine/session.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"oxbowbridge/internal/proxy/timerqueue"
+	"oxbowbridge/internal/transport/engine/delivery"
 	"oxbowbridge/internal/transport/eventloop"
 	"oxbowbridge/internal/transport/lineproto"
 	"oxbowbridge/internal/transport/session"
@@ -45,8 +46,10 @@
 	conn            *eventloop.Conn
 	current         connNumber // number of conn, or noConn
 	latestDial      connNumber
-	greeted         bool // HELLO has arrived on the current connection
-	ready           bool // HELLO has arrived once
+	greeted         bool                // HELLO has arrived on the current connection
+	synced          bool                // resync was done on the current connection
+	delivered       delivery.Connection // what the current connection shows to be read
+	ready           bool                // HELLO has arrived once
 	lastNotice      uint64
 	noticesMissing  bool // notices are missing before the first one on the current connection
 	reconnectDelay  time.Duration
@@ -54,6 +57,8 @@
 	unansweredPolls int           // since the latest message of the engine
 	lastCountedPoll time.Duration // when the latest of them was
 	runs            map[string]*run
+	durations       map[string]*session.LatencyEstimator // of runs, by class
+	lastEndedOrder  time.Duration                        // when the latest run that has ended was ordered
 }
 
 // New returns a Session that is not connected. pausesOnStop tells what HALT does to a run.
@@ -64,6 +69,7 @@
 		pausesOnStop:   pausesOnStop,
 		reconnectDelay: minReconnectDelay,
 		runs:           map[string]*run{},
+		durations:      map[string]*session.LatencyEstimator{},
 	}
 }
 
@@ -74,11 +80,15 @@
 	s.latestDial++
 	n := s.latestDial
 	s.Dial(s.addr, &session.LineHandler{
-		Config:    s.Config,
-		Parser:    lineproto.Parser{HasPayload: hasPayload},
-		Current:   func() bool { return n == s.current || n == s.latestDial },
-		OnMessage: s.receive,
-		OnLost:    func(err error) { s.lost(n, err) },
+		Config:  s.Config,
+		Parser:  lineproto.Parser{HasPayload: hasPayload},
+		Current: func() bool { return n == s.current || n == s.latestDial },
+		OnMessage: func(m lineproto.Message) {
+			if n == s.current { // one that is not open yet has had no ATTACH to answer
+				s.receive(m)
+			}
+		},
+		OnLost: func(err error) { s.lost(n, err) },
 	}, func(c *eventloop.Conn, err error) { s.opened(n, c, err) })
 }
 
@@ -105,10 +115,13 @@
 	}
 	if s.conn != nil {
 		s.conn.Abort()
+		s.leaveConnection()
 	}
 	s.conn = c
 	s.current = n
 	s.greeted = false
+	s.synced = false
+	s.delivered = delivery.Connection{}
 	s.noticesMissing = false
 	s.unansweredPolls = 0
 	s.send(commandAttach, strconv.FormatUint(s.lastNotice, 10))
@@ -126,6 +139,7 @@
 func (s *Session) lost(n connNumber, err error) {
 	if n == s.current {
 		s.conn.Abort()
+		s.leaveConnection()
 		s.conn = nil
 		s.current = noConn
 		s.greeted = false
@@ -145,7 +159,7 @@
 // no answer is expected.
 func (s *Session) RequestGauges() {
 	if s.greeted {
-		s.send(commandStats, tagGauges)
+		s.poll(tagGauges)
 	}
 	if s.conn == nil || !s.ready {
 		return
@@ -161,6 +175,13 @@
 	}
 }
 
+// poll asks the engine for its gauges. Its answer also shows that all commands before it on the
+// connection were read.
+func (s *Session) poll(tag string) {
+	s.delivered.PollSent()
+	s.send(commandStats, tag)
+}
+
 // send sends a command, if there is a connection.
 func (s *Session) send(words ...string) {
 	if s.conn != nil {
--- a/internal/transport/records/client.go
+++ b/internal/transport/records/client.go
@@ -19,7 +19,7 @@
 	calls   map[string]*call
 	queue   []*call // without a connection, oldest first
 	idle    []*conn // the latest used last
-	latency latencyEstimator
+	latency session.LatencyEstimator
 }
 
 // call is a call that has not ended.
@@ -49,7 +49,7 @@
 		pool:    pool,
 		linger:  linger,
 		calls:   map[string]*call{},
-		latency: newLatencyEstimator(),
+		latency: session.NewLatencyEstimator(),
 	}
 }
 
--- a/internal/transport/records/conn.go
+++ b/internal/transport/records/conn.go
@@ -103,7 +103,7 @@
 	timeout := strconv.FormatInt(timeoutMs(k.deadline-c.sentAt), 10)
 	c.socket.Write(lineproto.AppendWithPayload(nil, k.Body, commandCall, k.TraceID, timeout))
 	if k.mayResend() { // against replies that never come, or are never completed
-		c.timer = client.Timers.Schedule(c.sentAt+client.latency.replyTimeout(), func() { c.lost(errReplyTimeout) })
+		c.timer = client.Timers.Schedule(c.sentAt+client.latency.ReplyTimeout(), func() { c.lost(errReplyTimeout) })
 	}
 }
 
@@ -129,7 +129,7 @@
 		return
 	}
 	if reply.result == exchange.ResultOK { // a rejection comes sooner
-		c.client.latency.observe(c.client.Now() - c.sentAt)
+		c.client.latency.Observe(c.client.Now() - c.sentAt)
 	}
 	c.client.finish(c.detach(), reply.result, reply.body)
 	c.release()
@@ -170,7 +170,7 @@
 	}
 	if c.call != nil {
 		if errors.Is(err, errReplyTimeout) { // it takes at least so long
-			c.client.latency.observe(c.client.Now() - c.sentAt)
+			c.client.latency.Observe(c.client.Now() - c.sentAt)
 		}
 		c.client.Log.Warn("records connection lost", zap.String("trace_id", c.call.TraceID), zap.Error(err))
 	}
--- a/internal/transport/records/latency.go
+++ b/internal/transport/session/latency.go
@@ -1,10 +1,10 @@
-package records
+package session
 
 import "time"
 
-// latencyEstimator estimates how long replies take, as a mean and a mean deviation, and from them
+// LatencyEstimator estimates how long replies take, as a mean and a mean deviation, and from them
 // how long a reply is waited for (as TCP does for its retransmissions, RFC 6298).
-type latencyEstimator struct {
+type LatencyEstimator struct {
 	mean      time.Duration
 	deviation time.Duration
 }
@@ -17,17 +17,18 @@
 	minReplyTimeout    = 600 * time.Millisecond
 )
 
-func newLatencyEstimator() latencyEstimator {
-	return latencyEstimator{mean: initialLatency, deviation: initialLatency / 2}
+// NewLatencyEstimator returns an estimator that has observed nothing yet.
+func NewLatencyEstimator() LatencyEstimator {
+	return LatencyEstimator{mean: initialLatency, deviation: initialLatency / 2}
 }
 
-// observe takes the latency of a reply, or the time after which one was given up.
-func (e *latencyEstimator) observe(latency time.Duration) {
+// Observe takes the latency of a reply, or the time after which one was given up.
+func (e *LatencyEstimator) Observe(latency time.Duration) {
 	e.deviation += time.Duration(latencyGain * float64((latency-e.mean).Abs()-e.deviation))
 	e.mean += time.Duration(latencyGain * float64(latency-e.mean))
 }
 
-// replyTimeout is how long the reply to a call that may be sent again is waited for.
-func (e *latencyEstimator) replyTimeout() time.Duration {
+// ReplyTimeout is how long a reply is waited for, at least minReplyTimeout.
+func (e *LatencyEstimator) ReplyTimeout() time.Duration {
 	return max(minReplyTimeout, time.Duration(replyTimeoutFactor*float64(e.mean+deviationFactor*e.deviation)))
 }
