A reply that comes before its call no longer ends the process

What callers would have seen: the loss of all open requests of the process. Found by reading.

Cause: a connection that is being dialed for a call counted a reply under its trace id as the end of that call, though OP was not sent; when the dial was reported, begin took a call that was nil.

Evidence: TestReplyBeforeCall has a message arrive between the two steps of the dial; before the mend it panics in conn.begin.

Change: a reply counts only while its call is in flight on that connection; any other is a stray one, bounded as before. Result: the test passes, and the package's others.

--- a/internal/transport/records/conn.go
+++ b/internal/transport/records/conn.go
@@ -124,7 +124,7 @@
 		c.lost(err)
 		return
 	}
-	if c.call == nil || c.call.TraceID != reply.traceID {
+	if c.state != connBusy || c.call.TraceID != reply.traceID { // while dialing its call is not sent yet
 		c.countStray()
 		return
 	}
