An engine with a smaller uptime than before has restarted: its notices are read from 1

What callers would have seen: requests of the former engine without an end until their deadline, and each later run too, as its notice bore a number that counted as read. Found by reading; the platform starts engine and service together.

Cause: the session went on from its last notice on each new connection, whatever HELLO said.

Change: HELLO with a smaller uptime than the one before it counts as a restart. Notices are read from 1, and commands of earlier connections are decided on as where notices are missing (package delivery): repeated where they may happen twice, given up otherwise. Excluded: comparing with the time that has passed, as an engine whose clock stands still in a pause would look restarted.

--- a/internal/transport/engine/receive.go
+++ b/internal/transport/engine/receive.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -41,6 +42,7 @@
 		s.logNotUnderstood(words)
 		return
 	}
+	s.noteUptime(hello.uptime())
 	s.greeted = true
 	s.reconnectDelay = minReconnectDelay
 	for _, r := range s.runs {
@@ -57,6 +59,17 @@
 	s.Exchange.Post(exchange.RunnerReady{ColdStart: hello.state == stateColdStart, Uptime: hello.uptime()})
 }
 
+// noteUptime notices an engine that has restarted under this process: its notices are numbered from
+// 1 again, and of the runs of the one before it will tell nothing.
+func (s *Session) noteUptime(uptime time.Duration) {
+	if s.ready && uptime < s.engineUptime {
+		s.Log.Warn("engine restarted", zap.Int64("uptime_ms", uptime.Milliseconds()), zap.Int("runs", len(s.runs)))
+		s.lastNotice = 0
+		s.noticesMissing = true
+	}
+	s.engineUptime = uptime
+}
+
 func (s *Session) receiveStats(words []string) {
 	s.delivered.PollAnswered()
 	if words[1] == tagSync {
