A socket to the registry that opens after Deregister no longer lists the service again

What callers would have seen: a draining service on the list for up to 3 s longer. Found by reading; the order is a socket that is being opened, by Register or a new address, when the drain begins.

Cause: the report of a socket that has opened was the availability as it stood; Deregister left that at available, and SetAvailable could change it afterwards.

Change: Deregister sets it to unavailable for good. Result: TestDeregisterWhileOpening hears 'closed'; before it heard 'open'. TestGoldenReports is as it was.

--- a/internal/transport/registry/reporter.go
+++ b/internal/transport/registry/reporter.go
@@ -119,6 +119,9 @@
 // SetAvailable reports from now on that this service is available, or that it is listed and
 // takes no work. Reports get lost: each that follows says the same.
 func (r *Reporter) SetAvailable(ok bool) {
+	if r.state == deregistered {
+		return
+	}
 	before := r.availability
 	r.availability = available
 	if !ok {
@@ -129,11 +132,13 @@
 	}
 }
 
-// Deregister reports this service as unavailable, and nothing after that: its entry lapses.
+// Deregister reports this service as unavailable, and nothing after that: its entry lapses. Where a
+// socket is being opened, that report is its first.
 func (r *Reporter) Deregister() {
 	r.state = deregistered
+	r.availability = unavailable
 	r.Timers.Cancel(r.timer)
-	r.send(unavailable)
+	r.send(r.availability)
 }
 
 // send sends a report, if the socket is open.
