--- a/internal/transport/engine/session.go
+++ b/internal/transport/engine/session.go
@@ -50,7 +50,7 @@
 	synced          bool                // resync was done on the current connection
 	delivered       delivery.Connection // what the current connection shows to be read
 	ready           bool                // HELLO has arrived once
-	engineUptime    time.Duration // at the latest HELLO
+	engineUptime    time.Duration       // at the latest HELLO
 	lastNotice      uint64
 	noticesMissing  bool // notices are missing before the first one on the current connection
 	reconnectDelay  time.Duration
