No run is preempted where AJP upstreams, which can't pause, do the work of a site that pauses

What callers saw: with AJP upstreams and halt 'pause', a long request that gave way to others failed at its deadline. Found by reading; AJP upstreams are off on the platform.

Cause: the dispatcher counted a run that the pool had ended as paused; Resume did nothing.

Rejected: running it again on Resume, as a class that may run once can't be, and its preemption would be a failure.

Change: dispatch.Config.RunnerCannotPause has the admission controller preempt nothing there.

--- a/internal/proxy/dispatch/config.go
+++ b/internal/proxy/dispatch/config.go
@@ -50,6 +50,9 @@
 	Timers *timerqueue.Queue
 	// Runner runs requests: the engine, or AJP upstreams.
 	Runner exchange.Runner
+	// RunnerCannotPause says that the runner ends a run that it stops, also where the settings pause
+	// runs. No run is preempted then, as none could be resumed. Default false.
+	RunnerCannotPause bool
 	// Dependency makes the calls of runs to the records service.
 	Dependency exchange.DependencyClient
 	// Registry lists the service with the balancers.
--- a/internal/proxy/dispatch/dispatcher.go
+++ b/internal/proxy/dispatch/dispatcher.go
@@ -53,6 +53,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.RunnerCannotPause && settings.Preemption == admission.PreemptionPause {
+		settings.Preemption = admission.PreemptionNone
+	}
 	reserveKeyMemory(&settings, c.MaxIdempotencyKeyBytes)
 	tenants := map[string]int{}
 	for i, t := range c.SiteSettings.Tenants {
--- a/internal/transport/ajp/upstream_pool.go
+++ b/internal/transport/ajp/upstream_pool.go
@@ -121,9 +121,8 @@
 	p.finish(r, exchange.ResultStopped, nil)
 }
 
-// Resume does nothing: a run that was stopped is not paused but over. Under
-// admission.PreemptionPause the dispatcher counts it as paused and resumes it, and nothing runs it
-// again.
+// Resume does nothing: a run that was stopped is not paused but over, and the dispatcher preempts
+// none (dispatch.Config.RunnerCannotPause).
 func (p *UpstreamPool) Resume(string) {}
 
 // Discard does nothing, for the same reason.
--- a/tests/links_test.go
+++ b/tests/links_test.go
@@ -267,15 +267,22 @@
 }
 
 // upstream stands in for an AJP server that does the work. The body says what
-// becomes of a request: "drop" loses the connection under it.
+// becomes of a request: "drop" loses the connection under it, "hold" waits for release.
 type upstream struct {
-	addr string
-	mu   sync.Mutex
-	seen map[string]int // by trace
+	addr    string
+	release chan struct{}
+	mu      sync.Mutex
+	seen    map[string]int // by trace
+}
+
+func (u *upstream) timesSeen(trace string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.seen[trace]
 }
 
 func newUpstream(t *testing.T) *upstream {
-	u := &upstream{seen: map[string]int{}}
+	u := &upstream{seen: map[string]int{}, release: make(chan struct{})}
 	u.addr = server(t, func(raw net.Conn) {
 		defer raw.Close()
 		raw.SetDeadline(time.Now().Add(2 * patience))
@@ -307,14 +314,17 @@
 		return false
 	}
 	body := string(p[2:])
-	if body == "drop" {
+	switch body {
+	case "drop":
 		return false
+	case "hold":
+		<-u.release
 	}
 	c.Write(ajpPacket("AB", []byte{6, 0, 100})) // is there more?
 	if p, err = c.packet(); err != nil || len(p) > 0 {
 		return false
 	}
-	status := map[string]byte{"ok": 200, "error": 250}[body]
+	status := map[string]byte{"ok": 200, "hold": 200, "error": 250}[body]
 	result := "result of " + trace
 	c.Write(ajpPacket("AB", append(ajpString([]byte{4, 0, status}, "OK"), 0, 0)))
 	c.Write(ajpPacket("AB", append(append([]byte{3, 0, byte(len(result))}, result...), 0)))
