An ajp.listen without a host needs a secret, as it listens on all addresses

What callers saw: nothing; found by reading. With ':8009' and no secret anyone who reached the machine could send AJP requests with any field set.

Cause: validateAJPSecret took an empty host for an absent address.

Change: only an absent ajp.listen is passed over. Result: TestConfiguration has the case; before, the program started with it (the test waited 20 s for its end), now it exits with 2 and names the field. README already says so: an AJP port that isn't on a loopback address needs a secret.

--- a/cmd/oxbowbridge/config_validate.go
+++ b/cmd/oxbowbridge/config_validate.go
@@ -71,10 +71,10 @@
 // validateAJPSecret wants a secret for AJP ports that other hosts reach: a stranger there
 // could set any field of a request.
 func (c *config) validateAJPSecret() error {
-	host, _, _ := net.SplitHostPort(c.AJP.ListenAddress)
-	if host == "" || c.AJP.Secret != "" {
+	if c.AJP.ListenAddress == "" || c.AJP.Secret != "" {
 		return nil
 	}
+	host, _, _ := net.SplitHostPort(c.AJP.ListenAddress) // without a host it listens on all addresses
 	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
 		return fieldError("ajp.secret", "needed unless ajp.listen is a loopback address")
 	}
--- a/tests/fronts_test.go
+++ b/tests/fronts_test.go
@@ -251,6 +251,7 @@
 		},
 		"settings: family_info.halt": func(c object) { c["settings"].(object)["family_info"].(object)["halt"] = "stop" },
 		"ajp.secret":                 func(c object) { c["ajp"] = object{"listen": "0.0.0.0:8009"} },
+		"ajp.secret: ":               func(c object) { c["ajp"] = object{"listen": ":8009"} }, // all addresses
 		"ajp.upstreams":              func(c object) { c["ajp"] = object{"upstreams": []string{"127.0.0.1:1"}} },
 	} {
 		refusesToStart(t, want, change)
