--- a/tests/soak_callers_test.go
+++ b/tests/soak_callers_test.go
@@ -3,9 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
+// mixedClasses are those of a caller's requests; most may run once.
+var mixedClasses = slices.Concat(classNames, []string{"nom-submit", "nom-submit", "nom-update"})
+
 // soakCaller sends one request after the other, on a connection that it keeps until the
 // service or the caller itself ends it.
 type soakCaller struct {
