A run that was read and of which no notice comes is ordered again, or ends when it is due

Change: 'read', shown by a poll, and 'started', shown by a notice, are two states. What was read is awaited: for longer than runs of its class take while others do end, then sent again if it may be repeated; otherwise until its request is due, and given up then. It may just take long.

TestConfirmedRunIsNotRepeated holds: nothing is repeated at once.

--- a/internal/transport/engine/delivery/delivery.go
+++ b/internal/transport/engine/delivery/delivery.go
@@ -18,22 +18,25 @@
 	Sent
 	// Unconfirmed means that its connection was lost before anything showed that it was read.
 	Unconfirmed
-	// Read means that the engine has read it. A notice will tell what came of it.
+	// Read means that the engine has answered what was written after it on the same connection.
 	Read
+	// Started means that a notice has told of its run. Another one will tell of the end.
+	Started
 	numStates
 )
 
 // String returns the name of s.
 func (s State) String() string {
-	return [...]string{"not sent", "sent", "unconfirmed", "read"}[s]
+	return [...]string{"not sent", "sent", "unconfirmed", "read", "started"}[s]
 }
 
 // transitions has the state after each event. An event that changes nothing leads to the same state.
 var transitions = [numStates][numEvents]State{
-	NotSent:     {written: Sent, readShown: Read, connectionLost: NotSent},
-	Sent:        {written: Sent, readShown: Read, connectionLost: Unconfirmed},
-	Unconfirmed: {written: Sent, readShown: Read, connectionLost: Unconfirmed},
-	Read:        {written: Sent, readShown: Read, connectionLost: Read},
+	NotSent:     {written: Sent, readShown: Read, noticed: Started, connectionLost: NotSent},
+	Sent:        {written: Sent, readShown: Read, noticed: Started, connectionLost: Unconfirmed},
+	Unconfirmed: {written: Sent, readShown: Read, noticed: Started, connectionLost: Unconfirmed},
+	Read:        {written: Sent, readShown: Read, noticed: Started, connectionLost: Read},
+	Started:     {written: Sent, readShown: Started, noticed: Started, connectionLost: Started},
 }
 
 // event is what happens to a command.
@@ -41,7 +44,8 @@
 
 const (
 	written        event = iota // on the current connection
-	readShown                   // the engine sent something that shows that it has read the command
+	readShown                   // the engine has answered what was written after it
+	noticed                     // a notice has told of its run
 	connectionLost              // or another one has taken its place
 	numEvents
 )
@@ -71,13 +75,13 @@
 	c.polls = on.pollsSent
 }
 
-// ReadShown notes that a notice has shown that the engine has read the command.
-func (c *Command) ReadShown() { c.state = transitions[c.state][readShown] }
+// Noticed notes that a notice has told of the command's run.
+func (c *Command) Noticed() { c.state = transitions[c.state][noticed] }
 
 // ConnectionLost notes that the current connection was lost, or that another one takes its place.
 func (c *Command) ConnectionLost(lost *Connection) {
 	if c.state == Sent && c.polls < lost.pollsAnswered {
-		c.ReadShown()
+		c.state = transitions[c.state][readShown]
 	}
 	c.state = transitions[c.state][connectionLost]
 }
@@ -112,25 +116,31 @@
 	// Send means that the command is written on the new connection.
 	Send
 	// Await means that the command may be lost, and sending it again may do harm. A notice tells if it was
-	// read; if none comes by the deadline of the request, the request fails.
+	// read; if none comes in time, the request fails.
 	Await
+	// AwaitRead means that the engine has read the command, and no notice has told of its run. If none
+	// comes in time it was lost all the same: it is sent again if its effect allows that, or the
+	// request fails.
+	AwaitRead
 	// GiveUp means that what came of the command can't be known any more. The request fails.
 	GiveUp
 )
 
 // String returns the name of a.
 func (a Action) String() string {
-	return [...]string{"leave", "send", "await", "give up"}[a]
+	return [...]string{"leave", "send", "await", "await read", "give up"}[a]
 }
 
-// Resync decides on a command of an earlier connection. A command that was read is never sent
-// again while its notices are complete, whatever its effect.
+// Resync decides on a command of an earlier connection. A command that was read is not sent again
+// at once while its notices are complete, whatever its effect.
 func (c *Command) Resync(notices Notices, effect Effect) Action {
 	switch {
 	case c.state == NotSent:
 		return Send
-	case c.state == Sent, c.state == Read && notices == NoticesComplete:
+	case c.state == Sent, c.state == Started && notices == NoticesComplete:
 		return Leave
+	case c.state == Read && notices == NoticesComplete:
+		return AwaitRead
 	case effect == Repeatable:
 		return Send
 	case notices == NoticesMissing:
--- a/internal/transport/engine/delivery/delivery_test.go
+++ b/internal/transport/engine/delivery/delivery_test.go
@@ -19,13 +19,17 @@
 }
 
 func TestResync(t *testing.T) {
-	neverSent, unconfirmed, read := Command{}, Command{}, Command{}
+	neverSent, unconfirmed := Command{}, Command{}
 	var on Connection
 	unconfirmed.Written(&on)
-	read.Written(&on)
-	read.ReadShown()
+	on.PollSent()
+	started := unconfirmed
+	started.Noticed()
 	neverSent.ConnectionLost(&on)
+	read := unconfirmed
 	unconfirmed.ConnectionLost(&on)
+	started.ConnectionLost(&on)
+	on.PollAnswered()
 	read.ConnectionLost(&on)
 	var sent Command
 	sent.Written(&on)
@@ -44,8 +48,12 @@
 		{unconfirmed, NoticesComplete, Repeatable, Send},
 		{unconfirmed, NoticesMissing, Once, GiveUp},
 		{unconfirmed, NoticesMissing, Repeatable, Send},
-		{read, NoticesComplete, Once, Leave},
-		{read, NoticesComplete, Repeatable, Leave},
+		{read, NoticesComplete, Once, AwaitRead},
+		{read, NoticesComplete, Repeatable, AwaitRead},
+		{started, NoticesComplete, Once, Leave},
+		{started, NoticesComplete, Repeatable, Leave},
+		{started, NoticesMissing, Once, GiveUp},
+		{started, NoticesMissing, Repeatable, Send},
 		{read, NoticesMissing, Once, GiveUp},
 		{read, NoticesMissing, Repeatable, Send},
 	} {
@@ -243,7 +251,7 @@
 	m.missing = m.missing || number != m.noticeRead+1
 	m.noticeRead = number
 	if m.ends[number-1] == m.run {
-		m.command.ReadShown()
+		m.command.Noticed()
 		m.wanted = false
 	}
 }
@@ -260,7 +268,7 @@
 	switch m.command.Resync(notices, m.effect) {
 	case Send:
 		m.sendRun()
-	case Await:
+	case Await, AwaitRead:
 		m.awaits = true
 	case GiveUp:
 		m.wanted = false
--- a/internal/transport/engine/resync.go
+++ b/internal/transport/engine/resync.go
@@ -47,7 +47,7 @@
 	case delivery.Send:
 		counts.repeated++
 		s.sendRun(r)
-	case delivery.Await:
+	case delivery.Await, delivery.AwaitRead:
 		counts.awaited++
 		s.await(r)
 	case delivery.GiveUp:
@@ -74,31 +74,44 @@
 	case delivery.Send:
 		counts.repeated++
 		s.sendReply(r)
-	case delivery.Await, delivery.GiveUp:
+	case delivery.Await, delivery.AwaitRead, delivery.GiveUp:
 		counts.awaited++
 		s.await(r)
 	}
 }
 
-// await gives a run up if no notice of it has come for longer than runs of its class take, while
-// others do end, and in any case when its request is due.
+// await deals with a run of which no notice has come for longer than runs of its class take, while
+// others do end, or when its request is due (see overdue).
 func (s *Session) await(r *run) {
 	if r.awaiting == nil {
 		r.awaitedSince = s.Now()
-		s.scheduleGiveUp(r)
+		s.scheduleOverdue(r)
 	}
 }
 
-func (s *Session) scheduleGiveUp(r *run) {
+func (s *Session) scheduleOverdue(r *run) {
 	due := min(r.deadline, s.Now()+s.duration(r.job.Class).ReplyTimeout())
-	r.awaiting = s.Timers.Schedule(due, func() {
-		engineRuns := s.lastEndedOrder > r.awaitedSince // it does not merely hang
-		if engineRuns || s.Now() >= r.deadline {
-			s.giveUp(r)
-		} else {
-			s.scheduleGiveUp(r)
-		}
-	})
+	r.awaiting = s.Timers.Schedule(due, func() { s.overdue(r) })
+}
+
+// overdue sends a run again that was read and may be repeated, or gives it up. One that was read and
+// may not be repeated has until its request is due: it may just take long.
+func (s *Session) overdue(r *run) {
+	engineRuns := s.lastEndedOrder > r.awaitedSince // it does not merely hang
+	read := !r.maybeLost()
+	switch {
+	case s.Now() >= r.deadline:
+		s.giveUp(r)
+	case !engineRuns, read && r.effect() == delivery.Once:
+		s.scheduleOverdue(r)
+	case read && r.order.State() == delivery.Read && s.greeted:
+		r.awaiting = nil
+		s.sendRun(r)
+	case read:
+		s.scheduleOverdue(r)
+	default:
+		s.giveUp(r)
+	}
 }
 
 // duration estimates how long runs of a class take.
@@ -122,7 +135,7 @@
 func (s *Session) confirmed(r *run) {
 	s.Timers.Cancel(r.awaiting)
 	r.awaiting = nil
-	r.order.ReadShown()
+	r.order.Noticed()
 }
 
 // giveUp fails a run of which nothing can be known any more, and stops it in case that it runs.
--- a/internal/transport/engine/run.go
+++ b/internal/transport/engine/run.go
@@ -34,6 +34,11 @@
 	return delivery.Once
 }
 
+// maybeLost tells whether nothing shows that the engine has read the latest command for the run.
+func (r *run) maybeLost() bool {
+	return r.order.State() == delivery.Unconfirmed || r.hasReply && r.feed.State() == delivery.Unconfirmed
+}
+
 // Run orders a run. Without a connection it waits for one: what was never sent can't have run.
 func (s *Session) Run(a exchange.Job) {
 	r := &run{job: a, orderedAt: s.Now(), deadline: s.Now() + a.Timeout}
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -325,6 +325,7 @@
 	heard   []string
 	deaf    bool     // reads commands and does nothing
 	blind   bool     // answers no STAT
+	drops   bool     // reads RUN, and begins none
 	crosses bool     // runs end well just before their HALT is read
 	forgets int      // so many of the next links are accepted and then forgotten
 	gauged  int      // STATs that it answered
@@ -371,7 +372,7 @@
 		if e.endsNow && w[1] == "sync" {
 			e.releaseLocked()
 		}
-	case w[0] == "RUN" && e.active[w[1]]: // nothing happens
+	case w[0] == "RUN" && (e.active[w[1]] || e.drops): // nothing happens
 	case w[0] == "RUN":
 		e.runs[w[1]]++
 		e.active[w[1]] = true
--- a/tests/resync_test.go
+++ b/tests/resync_test.go
@@ -95,13 +95,8 @@
 	trace := newTrace()
 	got := w.later("balance-view", trace, "hold")
 	await(t, "the run", func() bool { return w.engine.held() == 1 })
-	polled := func() int {
-		w.engine.mu.Lock()
-		defer w.engine.mu.Unlock()
-		return w.engine.gauged
-	}
-	before := polled()
-	await(t, "polls that were answered", func() bool { return polled() > before+1 })
+	before := w.engine.polled()
+	await(t, "polls that were answered", func() bool { return w.engine.polled() > before+1 })
 	w.engine.cut()
 	await(t, "another link", func() bool { return w.engine.heardOf("ATTACH") == 2 })
 	require.Equal(t, 200, w.status("nom-submit", "ok"))
@@ -109,3 +104,41 @@
 	assert.Equal(t, "result of "+trace, (<-got).body)
 	assert.Equal(t, 1, w.engine.heardOf("RUN "+trace))
 }
+
+// TestReadRunThatNeverBegan: an engine that has answered a STAT behind RUN, and never began the run,
+// loses its connection. No notice ever comes: what may be repeated is ordered again, and a nom-submit
+// fails by the time it is due, and neither takes a place for good.
+func TestReadRunThatNeverBegan(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, submitDueIn(3*time.Second))
+	w.engine.setDrops(true)
+	read, submit := newTrace(), newTrace()
+	got, never := w.later("balance-view", read, "ok"), w.later("nom-submit", submit, "ok")
+	await(t, "both RUNs", func() bool { return w.engine.heardOf("RUN "+read)+w.engine.heardOf("RUN "+submit) == 2 })
+	polls := w.engine.polled()
+	await(t, "polls that were answered", func() bool { return w.engine.polled() > polls+1 })
+	w.engine.setDrops(false)
+	w.engine.cut()
+	await(t, "the run that is ordered again", func() bool {
+		w.status("nom-submit", "ok") // others end meanwhile
+		return w.engine.heardOf("RUN "+read) == 2
+	})
+	assert.Equal(t, "result of "+read, (<-got).body)
+	assert.Equal(t, 500, (<-never).status)
+	assert.Equal(t, 1, w.engine.heardOf("RUN "+submit))
+	await(t, "the end of its run", func() bool { return w.engine.heardOf("HALT "+submit) > 0 })
+}
+
+// setDrops has the engine begin no run, or begin runs again.
+func (e *engine) setDrops(drops bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.drops = drops
+}
+
+// polled is how many STATs the engine has answered.
+func (e *engine) polled() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gauged
+}
