--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -25,6 +25,7 @@
 
 var cases = map[string]func(*play) (broken bool, err error){
 	"slow-write":         slowWrite,
+	"reload-lacks-key":   reloadLacksKey,
 	"divergent-settings": divergentSettings,
 }
 
