Review case 1: count apart what was lost on connections that were still open

The result now says how many of the lost requests were written whole while the service had not closed its side of the connection, so that the case does not rest on those that cross a close. The check is the same.

--- a/review/stand/slowwrite.go
+++ b/review/stand/slowwrite.go
@@ -33,7 +33,7 @@
 		return false, err
 	}
 	addr := c["listen"].(string)
-	var sent, answered, lost, slowSent, slowLost, afterSent, afterLost atomic.Int64
+	var sent, answered, lost, slowSent, slowLost, slowLostOpen, afterSent, afterLost atomic.Int64
 	var wg sync.WaitGroup
 	// Ordinary traffic: requests written at once on kept connections.
 	for k := range 4 {
@@ -78,6 +78,9 @@
 				if r.slowLost {
 					slowLost.Add(1)
 					none++
+					if r.wholeOnOpen {
+						slowLostOpen.Add(1)
+					}
 				}
 				lost.Add(int64(none))
 				answered.Add(int64(1 + r.after - none))
@@ -95,15 +98,18 @@
 	}
 	p.rec.both("requests %d, answered %d, without an answer %d (of %d slow ones: %d; of %d written at once behind one on its connection: %d); allowed %.1f",
 		total, answered.Load(), none, slowSent.Load(), slowLost.Load(), afterSent.Load(), afterLost.Load(), allowedShare*float64(total))
+	p.rec.both("of the %d, %d were written whole while the service had not closed the connection", none, slowLostOpen.Load()+afterLost.Load())
 	return float64(none) > allowedShare*float64(total), nil
 }
 
 // slowResult counts the requests of one connection that were written whole, or as far as the service let them.
 type slowResult struct {
-	notRun    bool // the connection could not be prepared
-	slowLost  bool
-	after     int // requests written at once after the slow one, on the same connection
-	afterLost int
+	notRun   bool // the connection could not be prepared
+	slowLost bool
+	// wholeOnOpen: the last byte was written while the service had not closed its side of the connection.
+	wholeOnOpen bool
+	after       int // requests written at once after the slow one, on the same connection
+	afterLost   int
 }
 
 // answerLimit is how long after its acceptance a cycle-check may be answered: its deadline of 7.2 s, the slack
@@ -153,12 +159,16 @@
 		}
 	}
 	p.rec.line("balancer slow   %s last byte written after %v", trace, time.Since(begun).Round(time.Millisecond))
+	select {
+	case <-b.done:
+		p.rec.line("balancer slow   %s the service had closed its side before the last byte", trace)
+	default:
+		r.wholeOnOpen = true
+	}
 	var wg sync.WaitGroup
 	var afterLost atomic.Int64
 	if beside {
-		select {
-		case <-b.done: // the service has closed the connection: nothing more is sent on it
-		default:
+		if r.wholeOnOpen { // else nothing more is sent on the connection
 			r.after = 3
 		}
 		for m := range r.after {
