--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Builds every stand-in that the cases start. It needs the Go tool chain and no module.
+
 set -eu
 cd "$(dirname "$0")"
 mkdir -p bin
-GOWORK=off GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local CGO_ENABLED=0 go build -o bin/stand ./stand
+GOWORK=off GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local CGO_ENABLED=0 go build -o bin/stand ./_stand
