Reject requests on a connection that is about to close

Cause: frontend.Conn.Drain is used for callers that go on using the connection (a stalled request beside others, the end of a drain, a request without KEEP_CONN, too many invalid requests). fastcgi's handleBeginRequest returned without a word on a connection that rejects requests, and incomplete requests were discarded in silence. AJP responses offered the connection for reuse just before it was closed.

Ruled out: the event loop drops input only after the FIN (eventloop.Conn.closing), which is not sent while a request is open.

TestFaultLeavesAnswers required that nothing but the pending responses come, and so that a complete request on an open connection be dropped. It now requires OVERLOADED for each request that can be read, in its order, and as before that it never runs, that the pending response comes and that the close is orderly.

Why this works: OVERLOADED says that the attempt never ran, which is true for all of them, so the caller may send it elsewhere at once. The bytes of such requests are not added up to maxSkippedBytes, after which nothing is read.

--- a/internal/transport/ajp/conn.go
+++ b/internal/transport/ajp/conn.go
@@ -30,14 +30,15 @@
 // HasIncompleteRequest reports whether a request's body has not arrived completely.
 func (c *conn) HasIncompleteRequest() bool { return c.openReq != nil && !c.openReq.complete }
 
-// DiscardIncomplete discards the request if its body has not arrived completely, and returns the number of
-// requests that stay unanswered.
-func (c *conn) DiscardIncomplete() (unanswered int) {
+// RejectIncomplete rejects the request if its body has not arrived completely, and returns the number of
+// rejected requests.
+func (c *conn) RejectIncomplete() (rejected int) {
 	if !c.HasIncompleteRequest() {
 		return 0
 	}
 	c.openReq.Discard()
 	c.openReq = nil
+	c.Write(c.encodeResponse(frontend.HTTPResponse{Status: http.StatusServiceUnavailable}, closeAfter))
 	return 1
 }
 
--- a/internal/transport/ajp/open_request.go
+++ b/internal/transport/ajp/open_request.go
@@ -77,14 +77,24 @@
 	openReq.conn.CountResponse(response)
 }
 
-// sendResponse writes the response to a request. A second call for the same request has no effect.
+// sendResponse writes the response to a request. A second call for the same request has no effect. The response tells the
+// web server not to reuse a connection that is being closed.
 func (c *conn) sendResponse(openReq *openRequest, r frontend.HTTPResponse, after afterResponse) {
+	c.Lock()
+	if c.RejectsRequests() {
+		after = closeAfter
+	}
+	c.Unlock()
+	c.WriteResponse(&openReq.OpenRequest, c.encodeResponse(r, after), after == keepOpen, func() { c.openReq = nil })
+}
+
+// encodeResponse returns the packets of a response.
+func (c *conn) encodeResponse(r frontend.HTTPResponse, after afterResponse) []byte {
 	headers := []frontend.Header{
 		{Name: headerContentType, Value: contentTypeOctetStream},
 		{Name: headerContentLength, Value: strconv.Itoa(len(r.Body))},
 	}
 	headers = append(headers, frontend.CommonHeaders(c.frontend.Exchange)...)
 	headers = append(headers, r.Headers...)
-	packets := encodeResponse(r.Status, headers, r.Body, after == keepOpen)
-	c.WriteResponse(&openReq.OpenRequest, packets, after == keepOpen, func() { c.openReq = nil })
+	return encodeResponse(r.Status, headers, r.Body, after == keepOpen)
 }
--- a/internal/transport/fastcgi/conn.go
+++ b/internal/transport/fastcgi/conn.go
@@ -42,9 +42,9 @@
 	return false
 }
 
-// DiscardIncomplete discards the requests that have not arrived completely, and returns how many of them stay
-// unanswered. Further records of these requests are skipped.
-func (c *conn) DiscardIncomplete() (unanswered int) {
+// RejectIncomplete rejects the requests that have not arrived completely, and returns how many of them had no
+// response. Further records of these requests are skipped.
+func (c *conn) RejectIncomplete() (rejected int) {
 	for _, openReq := range c.openRequests {
 		if openReq.inputEnded {
 			continue
@@ -52,10 +52,11 @@
 		openReq.inputEnded = true
 		delete(c.openRequests, openReq.id)
 		if openReq.Discard() {
-			unanswered++
+			c.Write(appendEndRequest(nil, openReq.id, statusOverloaded))
+			rejected++
 		}
 	}
-	return unanswered
+	return rejected
 }
 
 // DiscardAll discards all requests and returns the submitted ones that have no response yet.
@@ -130,6 +131,8 @@
 	c.Lock()
 	if c.RejectsRequests() {
 		c.Unlock()
+		c.RequestRejected()
+		c.Write(appendEndRequest(nil, r.id, statusOverloaded))
 		return nil
 	}
 	if existing != nil && !existing.Settled() {
--- a/internal/transport/frontend/conn.go
+++ b/internal/transport/frontend/conn.go
@@ -21,9 +21,9 @@
 	// HasIncompleteRequest reports whether a request has started and was not received completely. The
 	// lock of the Conn must be held.
 	HasIncompleteRequest() bool
-	// DiscardIncomplete removes the requests that were not received completely, and returns how many
-	// of them had no response. The lock of the Conn must be held.
-	DiscardIncomplete() (unanswered int)
+	// RejectIncomplete removes the requests that were not received completely, and rejects those that
+	// had no response. It returns how many it rejected. The lock of the Conn must be held.
+	RejectIncomplete() (rejected int)
 	// DiscardAll removes all requests after the connection was closed, and returns those that were
 	// submitted and have no response. The lock of the Conn must be held.
 	DiscardAll() (unanswered []*exchange.Request)
@@ -36,8 +36,9 @@
 //   - its caller exceeds a limit (limits.go);
 //   - the process drains.
 //
-// Drain makes the connection reject further requests. The connection is closed gracefully once the open
-// requests are answered.
+// Drain makes the connection reject further requests, each with a response: the caller does not know of
+// the drain, and may send them while the connection waits for the responses to earlier ones. The connection is closed
+// gracefully once the open requests are answered.
 type Conn struct {
 	// Mutex guards the fields below, unless noted otherwise, and the Codec's requests.
 	sync.Mutex
@@ -108,14 +109,14 @@
 	c.stall.sweeps = 0
 }
 
-// Drain rejects further requests, discards those that were not received completely, and closes the
-// connection gracefully once the open requests are answered.
+// Drain rejects further requests and those that were not received completely, and closes the connection
+// gracefully once the open requests are answered.
 func (c *Conn) Drain() {
 	c.Lock()
 	defer c.Unlock()
 	c.rejectsRequests = true
 	c.partialMessage = false
-	c.openRequests -= c.codec.DiscardIncomplete()
+	c.openRequests -= c.codec.RejectIncomplete()
 	c.closeOnceAnswered()
 }
 
--- a/internal/transport/frontend/doc.go
+++ b/internal/transport/frontend/doc.go
@@ -9,9 +9,9 @@
 //
 //	                          unparsed bytes      open requests         unsent bytes
 //	Conn.CloseIfIdle          stays open          stays open            stays open
-//	Conn.Drain                start no request    answered; incomplete  sent
-//	                                              ones are discarded
-//	closeOnceAnswered         start no request    completed, answered   sent
+//	Conn.Drain                requests rejected   answered; incomplete  sent
+//	                                              ones are rejected
+//	closeOnceAnswered         requests rejected   completed, answered   sent
 //	CloseGracefully (1)       dropped             not answered          sent
 //	CloseIfNoPendingData (1)  stays open          not checked           stays open
 //	Abort (1)                 dropped             reported as aborted   dropped
--- a/internal/transport/frontend/limits.go
+++ b/internal/transport/frontend/limits.go
@@ -61,6 +61,10 @@
 	return nil
 }
 
+// RequestRejected records that a valid request was rejected because the connection is being closed. Its bytes are
+// not counted together with those of earlier ones. It is called on the event loop's goroutine.
+func (c *Conn) RequestRejected() { c.skippedBytes = 0 }
+
 // CountInvalidRequest counts an invalid request. It returns an error beyond maxConsecutiveInvalid, for
 // callers that send only invalid requests.
 func (c *Conn) CountInvalidRequest() error {
--- a/tests/endings_test.go
+++ b/tests/endings_test.go
@@ -26,6 +26,19 @@
 	require.Empty(t, rest, "unexpected data after the pending responses")
 }
 
+// fcgiOverloaded is the protocol status OVERLOADED of END_REQUEST.
+const fcgiOverloaded byte = 2
+
+// requireOverloaded requires that the next response rejects the request with the given id, which says that it never ran.
+func requireOverloaded(t *testing.T, c *fcgiConn, want uint16) {
+	t.Helper()
+	id, a, protocolStatus, err := c.readResponse()
+	require.NoError(t, err, "no response to request %d", want)
+	require.Equal(t, want, id)
+	require.Equal(t, fcgiOverloaded, protocolStatus)
+	require.Zero(t, a.status)
+}
+
 // awaitListenersClosed waits until the service refuses connections.
 func (s *service) awaitListenersClosed() {
 	await(s.t, "the listeners to close", func() bool {
@@ -40,7 +53,8 @@
 }
 
 // TestFaultLeavesAnswers: a connection closed for malformed input, an incomplete message, a request without
-// KEEP_CONN or too many faults must first deliver all pending responses.
+// KEEP_CONN or too many faults must first deliver all pending responses. What can still be read on it must be
+// rejected, not dropped: its caller does not know that the connection is about to close.
 func TestFaultLeavesAnswers(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, nil)
@@ -53,13 +67,14 @@
 	}
 	for what, tt := range map[string]struct {
 		followUp        []byte
-		responsesBefore int // number of responses that arrive before that of the held run
+		responsesBefore int  // number of responses that arrive before that of the held run
+		readable        bool // the input can still be read after the fault
 	}{
-		"garbage":        {[]byte("GET / HTTP/1.1\r\n\r\n"), 0},
-		"half a record":  {half[:5], 0},
-		"half a request": {half[:len(half)-11], 0},
-		"no KEEP_CONN":   {withoutKeepConn, 1},
-		"faults":         {faults, 17},
+		"garbage":        {[]byte("GET / HTTP/1.1\r\n\r\n"), 0, false},
+		"half a record":  {half[:5], 0, false},
+		"half a request": {half[:len(half)-11], 0, true},
+		"no KEEP_CONN":   {withoutKeepConn, 1, true},
+		"faults":         {faults, 17, false},
 	} {
 		t.Run(what, func(t *testing.T) {
 			trace := newTraceID()
@@ -78,9 +93,15 @@
 			if strings.HasPrefix(what, "half") {
 				await(t, "the incomplete message to time out", func() bool { return strings.Count(w.log(), "callers stalled") > stalledLines })
 			}
+			if what == "half a request" {
+				requireOverloaded(t, c, 9)
+			}
 			lateTrace := newTraceID() // nothing may start on a connection that is about to close
 			_, err = c.Write(fcgiRequest(5, "/call/nom-submit", requestHeaders(lateTrace), []byte("ok")))
 			require.NoError(t, err)
+			if tt.readable {
+				requireOverloaded(t, c, 5)
+			}
 			if what != "garbage" {
 				await(t, "the later request to be read", func() bool { return w.responseStatus("nom-submit", "ok") == 200 })
 			}
