Tell callers that write slowly from those that have stopped

Callers saw: a request written evenly over 2 s or more got no response.

Evidence: one request each written over 1.5 to 1.9 s was served; over 2.0, 2.2 and 4.0 s the connection ended 1.85 s after the first byte, with one line "callers stalled" each. Ruled out: eviction (a single connection), the idle close (idle_ns is 15 s), malformed input (no such line).

The same count also had the opposite fault: a request that was begun and forgotten stayed for ever while others completed on its connection.

What takes long without silence is limited apart: a message or a request may arrive for as long as the longest deadline of the classes, when its caller no longer waits, and for at least 5 s. Both protocols share the code.

--- a/cmd/oxbowbridge/frontends.go
+++ b/cmd/oxbowbridge/frontends.go
@@ -59,7 +59,11 @@
 func frontendClasses(cfg *config) map[string]frontend.Class {
 	classes := map[string]frontend.Class{}
 	for i, class := range cfg.Settings.Classes {
-		classes[class.Name] = frontend.Class{Index: i, NeedsIdempotencyKey: class.ExecutionSemantics == effectDeduplicated}
+		classes[class.Name] = frontend.Class{
+			Index:               i,
+			NeedsIdempotencyKey: class.ExecutionSemantics == effectDeduplicated,
+			Deadline:            class.Deadline,
+		}
 	}
 	return classes
 }
--- a/internal/transport/ajp/conn.go
+++ b/internal/transport/ajp/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"oxbowbridge/internal/proxy/exchange"
 	"oxbowbridge/internal/transport/frontend"
@@ -24,16 +25,21 @@
 // Feed parses received bytes.
 func (c *conn) Feed(received []byte) error { return c.parser.feed(received, c.handlePacket) }
 
-// HoldsPartialMessage reports whether the parser holds part of a packet.
-func (c *conn) HoldsPartialMessage() bool { return len(c.parser.buf) > 0 }
+// BufferedBytes returns the length of the partial packet that the parser holds.
+func (c *conn) BufferedBytes() int { return len(c.parser.buf) }
 
-// HasIncompleteRequest reports whether a request's body has not arrived completely.
-func (c *conn) HasIncompleteRequest() bool { return c.openReq != nil && !c.openReq.complete }
+// IncompleteSince returns when the request started if its body has not arrived completely.
+func (c *conn) IncompleteSince() (startedAt time.Time, incomplete bool) {
+	if c.openReq == nil || c.openReq.complete {
+		return time.Time{}, false
+	}
+	return c.openReq.StartedAt(), true
+}
 
 // RejectIncomplete rejects the request if its body has not arrived completely, and returns the number of
 // rejected requests.
 func (c *conn) RejectIncomplete() (rejected int) {
-	if !c.HasIncompleteRequest() {
+	if _, incomplete := c.IncompleteSince(); !incomplete {
 		return 0
 	}
 	c.openReq.Discard()
@@ -130,7 +136,7 @@
 	}
 	c.openReq = openReq
 	c.MarkActive()
-	c.RequestStarted()
+	c.RequestStarted(&openReq.OpenRequest)
 	return true
 }
 
--- a/internal/transport/fastcgi/conn.go
+++ b/internal/transport/fastcgi/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -29,17 +30,21 @@
 // Feed parses received bytes.
 func (c *conn) Feed(received []byte) error { return c.parser.feed(received, c.handleRecord) }
 
-// HoldsPartialMessage reports whether the parser holds part of a record.
-func (c *conn) HoldsPartialMessage() bool { return len(c.parser.buf) > 0 }
+// BufferedBytes returns the length of the partial record that the parser holds.
+func (c *conn) BufferedBytes() int { return len(c.parser.buf) }
 
-// HasIncompleteRequest reports whether a request has not arrived completely.
-func (c *conn) HasIncompleteRequest() bool {
+// IncompleteSince returns when the oldest request started that has not arrived completely.
+func (c *conn) IncompleteSince() (startedAt time.Time, incomplete bool) {
 	for _, openReq := range c.openRequests {
-		if !openReq.inputEnded {
-			return true
+		if openReq.inputEnded {
+			continue
+		}
+		if !incomplete || openReq.StartedAt().Before(startedAt) {
+			startedAt = openReq.StartedAt()
 		}
+		incomplete = true
 	}
-	return false
+	return startedAt, incomplete
 }
 
 // RejectIncomplete rejects the requests that have not arrived completely, and returns how many of them had no
@@ -141,8 +146,9 @@
 	}
 	tooManyOpen := c.OpenRequests() >= maxOpenRequests
 	if !tooManyOpen && role == roleResponder {
-		c.openRequests[r.id] = &openRequest{conn: c, id: r.id, keepAlive: keepAlive}
-		c.RequestStarted()
+		started := &openRequest{conn: c, id: r.id, keepAlive: keepAlive}
+		c.openRequests[r.id] = started
+		c.RequestStarted(&started.OpenRequest)
 	}
 	c.Unlock()
 	switch {
--- a/internal/transport/fastcgi/conn_test.go
+++ b/internal/transport/fastcgi/conn_test.go
@@ -177,7 +177,7 @@
 	c.Lock()
 	incomplete := &openRequest{conn: c, id: 2, paramsEnded: true}
 	c.openRequests[2] = incomplete
-	c.RequestStarted()
+	c.RequestStarted(&incomplete.OpenRequest)
 	c.Unlock()
 	c.Drain()
 	require.NoError(t, c.appendBody(incomplete, nil), "a record that was read before the drain")
--- a/internal/transport/frontend/conn.go
+++ b/internal/transport/frontend/conn.go
@@ -15,12 +15,12 @@
 	// Feed parses received bytes and handles each complete message, up to the first malformed one.
 	// It is called on the event loop's goroutine, and not again after an error.
 	Feed(received []byte) error
-	// HoldsPartialMessage reports whether the parser has buffered part of a message.
+	// BufferedBytes returns the length of the partial message that the parser has buffered, or 0.
 	// It is called on the event loop's goroutine.
-	HoldsPartialMessage() bool
-	// HasIncompleteRequest reports whether a request has started and was not received completely. The
-	// lock of the Conn must be held.
-	HasIncompleteRequest() bool
+	BufferedBytes() int
+	// IncompleteSince returns when the oldest request started that was not received completely, or false
+	// if there is none. The lock of the Conn must be held.
+	IncompleteSince() (startedAt time.Time, incomplete bool)
 	// RejectIncomplete removes the requests that were not received completely, and rejects those that
 	// had no response. It returns how many it rejected. The lock of the Conn must be held.
 	RejectIncomplete() (rejected int)
@@ -31,7 +31,7 @@
 
 // Conn is one connection from a caller. It is closed in these cases:
 //   - the caller closes it;
-//   - it is idle or stalled for too long (reap.go);
+//   - it is idle for too long, or its caller makes no progress (reap.go, progress.go);
 //   - it is evicted (evict.go);
 //   - its caller exceeds a limit (limits.go);
 //   - the process drains.
@@ -51,13 +51,15 @@
 	rejectsRequests bool      // no more requests start; the connection is closed once the open ones are answered
 	receivedRequest bool      // a complete request, or a keep-alive of the protocol, was received
 	partialMessage  bool      // the parser had buffered part of a message after the latest bytes
-	stall           stall
+	partialSince    time.Time // when the first byte of the partial message arrived
+	tracker         progressTracker
 
 	consecutiveInvalid atomic.Int32 // invalid requests since the latest valid one
 
 	// Used on the event loop's goroutine only.
-	malformed    bool // the input was malformed; further input is dropped
-	skippedBytes int  // bytes that belonged to no request, since the latest request
+	malformed     bool // the input was malformed; further input is dropped
+	skippedBytes  int  // bytes that belonged to no request, since the latest request
+	bufferedBytes int  // length of the partial message after the latest bytes
 }
 
 // NewConn returns a Conn whose input is parsed by codec.
@@ -69,10 +71,16 @@
 // requests are still answered, unless the caller floods the connection or does not read responses.
 func (c *Conn) OnData(received []byte) {
 	c.parse(received)
-	partial := c.codec.HoldsPartialMessage()
+	buffered := c.codec.BufferedBytes()
+	sameMessage := c.bufferedBytes > 0 && buffered == c.bufferedBytes+len(received)
+	c.bufferedBytes = buffered
 	c.Lock()
-	c.partialMessage = partial && !c.rejectsRequests
-	c.Unlock()
+	defer c.Unlock()
+	c.tracker.receivedInput = true
+	c.partialMessage = buffered > 0 && !c.rejectsRequests
+	if !sameMessage {
+		c.partialSince = time.Now()
+	}
 }
 
 // OnClose removes the closed connection and reports its open requests as aborted by the caller.
@@ -96,8 +104,11 @@
 // be held.
 func (c *Conn) OpenRequests() int { return c.openRequests }
 
-// RequestStarted counts another open request. The lock must be held.
-func (c *Conn) RequestStarted() { c.openRequests++ }
+// RequestStarted counts another open request, of which the first bytes have arrived. The lock must be held.
+func (c *Conn) RequestStarted(open *OpenRequest) {
+	open.startedAt = time.Now()
+	c.openRequests++
+}
 
 // MarkActive sets the time of the latest activity to now. The lock must be held.
 func (c *Conn) MarkActive() { c.lastActive = time.Now() }
@@ -106,7 +117,7 @@
 // shows that the caller is not stalled. The lock must be held.
 func (c *Conn) RequestArrived() {
 	c.receivedRequest = true
-	c.stall.sweeps = 0
+	c.tracker.sweepsWithoutProgress = 0
 }
 
 // Drain rejects further requests and those that were not received completely, and closes the connection
@@ -148,5 +159,6 @@
 // hasPartialMessage reports whether part of a message or of a request was parsed. The lock must be
 // held.
 func (c *Conn) hasPartialMessage() bool {
-	return c.codec.HasIncompleteRequest() || c.partialMessage
+	_, incomplete := c.codec.IncompleteSince()
+	return incomplete || c.partialMessage
 }
--- a/internal/transport/frontend/request.go
+++ b/internal/transport/frontend/request.go
@@ -32,8 +32,9 @@
 
 // Class contains the settings of a request class that a frontend needs.
 type Class struct {
-	Index               int  // index of the class in the settings
-	NeedsIdempotencyKey bool // requests must carry an idempotency key
+	Index               int           // index of the class in the settings
+	NeedsIdempotencyKey bool          // requests must carry an idempotency key
+	Deadline            time.Duration // from the arrival of a request at this machine
 }
 
 // IsHealthCheck reports whether the request is a health check.
--- a/internal/transport/frontend/server.go
+++ b/internal/transport/frontend/server.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -22,6 +23,7 @@
 // Server is the listener of one protocol and its connections.
 type Server struct {
 	Config
+	maxReceiveTime time.Duration // see maxReceiveTime
 
 	mu              sync.Mutex // taken before the lock of a Conn
 	conns           map[*Conn]struct{}
@@ -32,7 +34,9 @@
 }
 
 // NewServer returns a Server. Listen opens its listener.
-func NewServer(c Config) *Server { return &Server{Config: c} }
+func NewServer(c Config) *Server {
+	return &Server{Config: c, maxReceiveTime: maxReceiveTime(c.Classes)}
+}
 
 // Listen opens the listener and calls accept to create the Conn of each new connection. A connection
 // beyond maxConns, or beyond the capacity of the pool, evicts another one, which leaves descriptors for
