Tell callers that read slowly from those that do not read

Found on the paths beside the slow writers: it is the same mistake in the other direction.

It does not fall where as much is written as is read, nor while the system waits for free space before it takes more.

Ruled out: the limit of 192 KiB, which counts only when more input arrives.

Why this works: DeliveredBytes is what the peer's system has acknowledged; with bytes pending it grows only if the peer reads. It is asked for only while bytes are pending.

--- a/internal/transport/eventloop/close_test.go
+++ b/internal/transport/eventloop/close_test.go
@@ -184,6 +184,37 @@
 	<-p.closed
 }
 
+// TestGracefulCloseWaitsForSmallReads guards against lost responses: a peer that reads less at a time than makes the system
+// send more must not be taken for one that has stopped reading.
+func TestGracefulCloseWaitsForSmallReads(t *testing.T) {
+	const chunkBytes = 64 << 10
+	loop, connect := newTestLoop(t, 4)
+	p, c := connect()
+	written := 0
+	for full := 0; full < 3; { // the systems may enlarge their buffers at first
+		if p.conn.PendingBytes() > 0 {
+			full++
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		full = 0
+		p.conn.Write(make([]byte, chunkBytes))
+		written += chunkBytes
+	}
+	p.conn.CloseGracefully()
+	now := time.Now()
+	for read := 0; read < 8*chunkBytes; read += chunkBytes {
+		_, err := io.CopyN(io.Discard, c, chunkBytes)
+		require.NoError(t, err)
+		time.Sleep(10 * time.Millisecond) // for the acknowledgement
+		now = now.Add(maxLinger * 9 / 10)
+		require.Equal(t, 1, loop.ReapLingering(now), "after %d bytes", read)
+	}
+	rest, err := io.Copy(io.Discard, c)
+	require.NoError(t, err)
+	require.EqualValues(t, written-8*chunkBytes, rest)
+}
+
 // TestCloseAfterDescriptorClosed closes and aborts connections whose descriptor is already closed. They must
 // not be added to the lists of lingering or aborted connections, where they would stay forever.
 func TestCloseAfterDescriptorClosed(t *testing.T) {
--- a/internal/transport/eventloop/conn.go
+++ b/internal/transport/eventloop/conn.go
@@ -37,15 +37,16 @@
 
 	writeMu sync.Mutex // serializes writers; acquired before nbio's lock, which is acquired before mu
 
-	mu                     sync.Mutex // the innermost lock: acquired after nbio's and after the loop's
-	state                  connState
-	registered             bool      // the connection was added to the loop
-	abortedAt              time.Time // time of the first Abort, or zero
-	pendingBytes           int       // written bytes that have not been sent
-	droppedBytes           int       // bytes received after the close was requested
-	lingerDeadline         time.Time // time at which a closing connection is aborted
-	pendingBytesAtLastReap int       // pendingBytes at the latest ReapLingering, or when the close was requested
-	closeRequestedAt       time.Time
+	mu                  sync.Mutex // the innermost lock: acquired after nbio's and after the loop's
+	state               connState
+	registered          bool      // the connection was added to the loop
+	abortedAt           time.Time // time of the first Abort, or zero
+	pendingBytes        int       // written bytes that have not been sent
+	sentBytes           int64     // written bytes that have been sent, since the connection was opened
+	droppedBytes        int       // bytes received after the close was requested
+	lingerDeadline      time.Time // time at which a closing connection is aborted
+	deliveredAtLastReap int64     // delivered bytes at the latest ReapLingering, or when the close was requested
+	closeRequestedAt    time.Time
 }
 
 // Write sends b, or queues it, without blocking. If sending fails or the queue would exceed
@@ -115,6 +116,7 @@
 func (c *Conn) markSent(n int) {
 	c.mu.Lock()
 	c.pendingBytes -= n
+	c.sentBytes += int64(n)
 	finDue := c.state == connFlushing && c.pendingBytes <= 0
 	c.mu.Unlock()
 	if finDue {
@@ -129,6 +131,25 @@
 	return c.pendingBytes
 }
 
+// DeliveredBytes returns how many written bytes the peer's system has acknowledged since the connection was opened. While
+// bytes are pending it grows only if the peer reads. A peer that reads less at a time than makes the system send more
+// leaves PendingBytes unchanged, and so does one that reads as fast as bytes are written.
+func (c *Conn) DeliveredBytes() int64 {
+	c.mu.Lock()
+	sent := c.sentBytes // before the unacknowledged ones, so that the result is never too large
+	c.mu.Unlock()
+	c.nbConn.Lock()
+	defer c.nbConn.Unlock()
+	if closed, _ := c.nbConn.IsClosed(); closed {
+		return sent
+	}
+	unacknowledged, err := unix.IoctlGetInt(c.nbConn.Hash(), unix.SIOCOUTQ)
+	if err != nil {
+		return sent
+	}
+	return sent - int64(unacknowledged)
+}
+
 // HasUnhandledInput reports whether bytes have arrived that the Handler has not handled completely. When the loop
 // lags behind, a connection from which nothing was read may have input in the socket and is not idle.
 func (c *Conn) HasUnhandledInput() bool {
--- a/internal/transport/eventloop/linger.go
+++ b/internal/transport/eventloop/linger.go
@@ -25,10 +25,11 @@
 // maxLingering.
 func (l *Loop) addLingering(c *Conn) {
 	now := time.Now()
+	delivered := c.DeliveredBytes()
 	c.mu.Lock()
 	c.closeRequestedAt = now
+	c.deliveredAtLastReap = delivered
 	c.lingerDeadline = now.Add(maxLinger)
-	c.pendingBytesAtLastReap = c.pendingBytes
 	c.mu.Unlock()
 	l.mu.Lock()
 	if !c.isClosed() {
@@ -59,15 +60,9 @@
 // also closes connections that were aborted at least maxLinger ago and that no event of the loop has
 // closed.
 func (l *Loop) ReapLingering(now time.Time) (lingering int) {
-	var expired []*Conn
+	expired := l.expiredLingering(now)
 	l.mu.Lock()
-	l.lingering = slices.DeleteFunc(l.lingering, func(c *Conn) bool {
-		if !c.lingerExpired(now) {
-			return false
-		}
-		expired = append(expired, c)
-		return true
-	})
+	l.lingering = slices.DeleteFunc(l.lingering, func(c *Conn) bool { return slices.Contains(expired, c) })
 	lingering = len(l.lingering)
 	stuck := l.stuckAborted(now)
 	l.mu.Unlock()
@@ -78,15 +73,33 @@
 	return lingering
 }
 
-// lingerExpired reports whether the linger deadline has passed. It extends the deadline if the peer has
-// read bytes since the previous ReapLingering.
+// expiredLingering returns the lingering connections whose deadline has passed. It examines them without l.mu,
+// which the loop acquires after nbio's lock.
+func (l *Loop) expiredLingering(now time.Time) (expired []*Conn) {
+	l.mu.Lock()
+	lingering := slices.Clone(l.lingering)
+	l.mu.Unlock()
+	for _, c := range lingering {
+		if c.lingerExpired(now) {
+			expired = append(expired, c)
+		}
+	}
+	return expired
+}
+
+// lingerExpired reports whether the linger deadline has passed. It extends the deadline if queued bytes are being sent
+// and the peer has read bytes since the previous ReapLingering.
 func (c *Conn) lingerExpired(now time.Time) bool {
+	delivered := int64(0)
+	if c.PendingBytes() > 0 {
+		delivered = c.DeliveredBytes()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pendingBytes < c.pendingBytesAtLastReap {
+	if delivered > c.deliveredAtLastReap {
 		c.lingerDeadline = now.Add(maxLinger)
 	}
-	c.pendingBytesAtLastReap = c.pendingBytes
+	c.deliveredAtLastReap = max(c.deliveredAtLastReap, delivered)
 	return !now.Before(c.lingerDeadline)
 }
 
--- a/internal/transport/frontend/conn.go
+++ b/internal/transport/frontend/conn.go
@@ -117,7 +117,7 @@
 // shows that the caller is not stalled. The lock must be held.
 func (c *Conn) RequestArrived() {
 	c.receivedRequest = true
-	c.tracker.sweepsWithoutProgress = 0
+	c.tracker.silentSweeps = 0
 }
 
 // Drain rejects further requests and those that were not received completely, and closes the connection
--- a/internal/transport/frontend/progress.go
+++ b/internal/transport/frontend/progress.go
@@ -37,43 +37,60 @@
 	return [...]string{"progressing", "silent", "too slow", "not reading"}[p]
 }
 
-// progressTracker holds what a sweep compares with the sweep before.
+// progressTracker holds what a sweep compares with the sweep before. Sending and reading are counted apart: a caller that
+// sends nothing may still read.
 type progressTracker struct {
-	sweepsWithoutProgress int  // consecutive sweeps
-	receivedInput         bool // bytes have arrived since the latest sweep
-	unsentBytes           int  // unsent bytes at the latest sweep
+	silentSweeps   int   // consecutive sweeps in which a request was due and nothing of it arrived
+	unreadSweeps   int   // consecutive sweeps in which the caller read none of the unsent responses
+	receivedInput  bool  // bytes have arrived since the latest sweep
+	deliveredBytes int64 // response bytes that had been delivered at the latest sweep
 }
 
-// checkProgress updates the progressTracker at a sweep. A caller makes no progress while it sends nothing of a request that has
-// begun, or sends no first request, or if it has read no response bytes since the previous sweep. A request that
-// arrives slowly makes progress for as long as its response can still be of use to the caller.
+// checkProgress updates the progressTracker at a sweep, and returns the state of the caller. A request that arrives slowly
+// makes progress for as long as its response can still be of use to the caller.
 func (c *Conn) checkProgress(now time.Time) progress {
 	c.Lock()
 	defer c.Unlock()
-	tracker := &c.tracker
-	receivedInput := tracker.receivedInput
-	tracker.receivedInput = false
-	unsent := c.PendingBytes()
-	unread := unsent > 0 && unsent >= tracker.unsentBytes
-	tracker.unsentBytes = unsent
-	if c.receivesTooSlowly(now) {
-		return tooSlow
-	}
-	partial := c.hasPartialMessage()
-	requestDue := partial && !receivedInput || !partial && !c.receivedRequest && !c.rejectsRequests
-	if !requestDue && !unread {
-		tracker.sweepsWithoutProgress = 0
-		return progressing
-	}
-	tracker.sweepsWithoutProgress++
+	c.countUnreadSweep()
+	c.countSilentSweep()
 	switch {
-	case tracker.sweepsWithoutProgress <= maxSweepsWithoutProgress:
-		return progressing
-	case unread:
+	case c.tracker.unreadSweeps > maxSweepsWithoutProgress:
 		return notReading
-	default:
+	case c.receivesTooSlowly(now):
+		return tooSlow
+	case c.tracker.silentSweeps > maxSweepsWithoutProgress:
 		return silent
 	}
+	return progressing
+}
+
+// countUnreadSweep counts a sweep in which the caller has read none of the unsent responses. The lock must be held.
+func (c *Conn) countUnreadSweep() {
+	if c.PendingBytes() == 0 {
+		c.tracker.unreadSweeps = 0
+		return
+	}
+	delivered := c.DeliveredBytes()
+	if delivered > c.tracker.deliveredBytes {
+		c.tracker.unreadSweeps = 0
+	} else {
+		c.tracker.unreadSweeps++
+	}
+	c.tracker.deliveredBytes = delivered
+}
+
+// countSilentSweep counts a sweep in which nothing has arrived of a request that has begun, or in which no request has
+// arrived on the connection yet. The lock must be held.
+func (c *Conn) countSilentSweep() {
+	receivedInput := c.tracker.receivedInput
+	c.tracker.receivedInput = false
+	partial := c.hasPartialMessage()
+	firstRequestDue := !partial && !c.receivedRequest && !c.rejectsRequests
+	if firstRequestDue || partial && !receivedInput {
+		c.tracker.silentSweeps++
+		return
+	}
+	c.tracker.silentSweeps = 0
 }
 
 // receivesTooSlowly reports whether a request or a message began to arrive more than maxReceiveTime ago and is
