Reject a reload whose file lacks a key of the one in effect

Cause: config.validate looks at the new file alone and takes an absent key for its default. `records` and `lookup` may be absent (a service of the last tier has no records service), so the file was valid, and reload turned off what was in use.

Evidence: the log says `configuration reloaded` with `"changed":["records"]` for that file. Ruled out: a file cut short or read half (it is rejected as "unexpected end of JSON input"), and a lost connection (the records service was up).

Why this works: the file of the configuration in effect is the only thing that says which keys are wanted. All of its keys are, also in nested objects and in the elements of arrays; classes may still be added and dropped. The same cause silently removed `lookup`, `ajp.upstream_secret`, `limits.cores` or keys of the settings. A start has nothing to compare with: where classes make calls and there is no `records`, it now logs a warning that names them.

--- a/cmd/oxbowbridge/config.go
+++ b/cmd/oxbowbridge/config.go
@@ -34,7 +34,7 @@
 	// Default: the service is not registered.
 	RegistryAddress string `json:"lookup"`
 	// RecordsAddress is the address of the records service, which replies to the calls of
-	// runs. Default: calls fail.
+	// runs. Default: calls fail, as services of the last tier have no records service.
 	RecordsAddress string `json:"records"`
 	// Seed randomizes the slow start of AJP upstreams differently in each process: up to 16
 	// hex digits. Default 0.
@@ -64,6 +64,7 @@
 	Maintenance *agent.Config `json:"work"`
 
 	settingsFromStore bool // Settings were loaded from the store
+	document          any  // the file as a JSON value, in which an absent key differs from a zero value
 }
 
 // ajpConfig configures callers and upstreams that use AJP13.
@@ -80,7 +81,11 @@
 	UpstreamSecret string `json:"upstream_secret"`
 }
 
-var errMissing = errors.New("missing")
+var (
+	errMissing = errors.New("missing")
+	// errKeyRemoved is the error of a reload whose file lacks a key.
+	errKeyRemoved = errors.New("missing, but the configuration in effect has it; restart the service to remove it")
+)
 
 // fieldError returns an error that names a field of the configuration.
 func fieldError(field, format string, args ...any) error {
@@ -100,6 +105,18 @@
 	return parseConfig(text, env)
 }
 
+// readUpdatedConfig reads and validates the file for a reload. The file must have all keys of the configuration in effect.
+func readUpdatedConfig(inEffect *config, env func(string) string) (*config, error) {
+	updated, err := readConfig(env)
+	if err != nil {
+		return nil, err
+	}
+	if missing := inEffect.firstMissingKey(updated); missing != "" {
+		return nil, fieldError(missing, "%w", errKeyRemoved)
+	}
+	return updated, nil
+}
+
 // parseConfig parses the text of a configuration file, applies the overrides of the
 // environment, and validates the result.
 func parseConfig(text []byte, env func(string) string) (*config, error) {
@@ -107,6 +124,9 @@
 	if err := sitesettings.DecodeJSON(text, &c); err != nil {
 		return nil, err
 	}
+	if err := sitesettings.DecodeJSON(text, &c.document); err != nil {
+		return nil, err
+	}
 	if name := env(envServiceName); name != "" {
 		c.Name = name
 	}
@@ -119,6 +139,22 @@
 	return &c, c.validate()
 }
 
+// classesWithFailingCalls returns the names of the classes whose runs may make calls although no records service is
+// configured.
+func (c *config) classesWithFailingCalls() (names []string) {
+	server := &c.Settings.Server
+	noCalls := len(c.AJP.UpstreamAddresses) > 0 || server.Dependency == "" || server.Dependency == dependencyNone
+	if noCalls || c.RecordsAddress != "" {
+		return nil
+	}
+	for i, class := range c.Settings.Classes {
+		if i < len(server.ClassMakesCalls) && server.ClassMakesCalls[i] {
+			names = append(names, class.Name)
+		}
+	}
+	return names
+}
+
 // parsedSeed returns the value of Seed.
 func (c *config) parsedSeed() (uint64, error) {
 	if c.Seed == "" {
--- a/cmd/oxbowbridge/service.go
+++ b/cmd/oxbowbridge/service.go
@@ -32,6 +32,8 @@
 	// dependencyShared is the value of the setting family_info.below for a dependency that all
 	// services share.
 	dependencyShared = "shared"
+	// dependencyNone is the value of the setting family_info.below for runs that make no calls.
+	dependencyNone = "none"
 )
 
 // service holds the components of the process that handle requests.
@@ -61,6 +63,9 @@
 		Now:      func() time.Duration { return time.Since(started) },
 		Log:      log,
 	}
+	if classes := cfg.classesWithFailingCalls(); len(classes) > 0 {
+		log.Warn("no records service configured, calls will fail", zap.Strings("classes", classes))
+	}
 	runner := newRunner(cfg, sessionConfig)
 	recordsService := records.New(cfg.RecordsAddress, pool, callLinger(cfg), sessionConfig)
 	registration := registry.New(cfg.RegistryAddress, cfg.Name, sessionConfig)
@@ -101,10 +106,10 @@
 	return s, nil
 }
 
-// reload reads the configuration file and returns the configuration that is now in effect. An
-// invalid file changes nothing.
+// reload reads the configuration file and returns the configuration that is now in effect. A
+// file that is invalid or incomplete changes nothing.
 func (s *service) reload(old *config, env func(string) string) *config {
-	cfg, err := readConfig(env)
+	cfg, err := readUpdatedConfig(old, env)
 	if err != nil {
 		s.log.Error("configuration rejected", zap.Error(err))
 		return old
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -151,12 +151,19 @@
 // reloadConfig changes the configuration file and sends SIGHUP. It returns the line that the program logs about
 // the configuration.
 func (s *service) reloadConfig(change func(object)) string {
+	change(s.cfg)
+	text, err := json.Marshal(s.cfg)
+	require.NoError(s.t, err)
+	return s.reloadText(text)
+}
+
+// reloadText is reloadConfig with the text of the file.
+func (s *service) reloadText(text []byte) string {
 	configLines := func() []string {
 		return slices.DeleteFunc(strings.Split(s.log(), "\n"), func(l string) bool { return !strings.Contains(l, `"msg":"configuration `) })
 	}
 	n := len(configLines())
-	change(s.cfg)
-	s.writeConfig()
+	require.NoError(s.t, os.WriteFile(s.configPath, text, 0o600))
 	require.NoError(s.t, s.cmd.Process.Signal(syscall.SIGHUP))
 	await(s.t, "a log line about the configuration", func() bool { return len(configLines()) > n })
 	return configLines()[n]
--- a/tests/reload_test.go
+++ b/tests/reload_test.go
@@ -1,7 +1,13 @@
 package tests
 
 import (
+	"bytes"
+	"encoding/json"
+	"maps"
 	"net"
+	"os"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -95,6 +101,135 @@
 	w.terminate()
 }
 
+// TestReloadLacksKey: a file that lacks a key of the configuration in effect is rejected as a whole, as one that is empty or
+// cut short. Otherwise the key's default takes effect: without records, all calls would fail.
+func TestReloadLacksKey(t *testing.T) {
+	t.Parallel()
+	w := newTestbed(t, func(cfg object) {
+		cfg["lookup"] = freeAddr(t)
+		cfg["settings"].(object)["classes"].([]object)[3]["aim_stretch"] = 1
+	})
+	valid, err := os.ReadFile(w.configPath)
+	require.NoError(t, err)
+	lost := w.records
+	requireCallsServed := func(what string) {
+		t.Helper()
+		assert.Equal(t, 200, w.responseStatus("nom-submit", "call"), what)
+	}
+	requireCallsServed("before")
+	without := func(path ...string) []byte { return withoutKey(t, valid, path...) }
+	for want, text := range map[string][]byte{
+		"records: ":                             without("records"),
+		"lookup: ":                              without("lookup"),
+		"name: ":                                without("name"),
+		"listen: ":                              without("listen"),
+		"engine: ":                              without("engine"),
+		"seed: ":                                without("seed"),
+		"stop_ms: ":                             without("stop_ms"),
+		"limits.cores: ":                        without("limits", "cores"),
+		"limits.":                               without("limits"),
+		"settings: ":                            without("settings"),
+		"settings.bounds.retry_after: ":         without("settings", "bounds", "retry_after"),
+		"settings.family_info.class_calls: ":    without("settings", "family_info", "class_calls"),
+		"settings.classes.value: ":              without("settings", "classes", "1", "value"),
+		"ajp: ":                                 without("ajp"),
+		"ajp.secret: ":                          without("ajp", "secret"),
+		"unexpected end of JSON input":          nil,
+		"unexpected end of JSON input, in half": valid[:len(valid)/2],
+	} {
+		want, _, _ = strings.Cut(want, ",")
+		line := w.reloadText(text)
+		assert.Contains(t, line, `"msg":"configuration rejected"`, want)
+		assert.Contains(t, line, want)
+		requireCallsServed(want)
+	}
+	for what, key := range map[string]string{"null": "null", "empty text": `""`} {
+		line := w.reloadText(bytes.Replace(valid, []byte(`"`+lost.addr+`"`), []byte(key), 1))
+		assert.Contains(t, line, `"msg":"configuration rejected","name":"n3","error":"records: missing`, what)
+		requireCallsServed(what)
+	}
+
+	w.records = newRecordsStandin(t)
+	line := w.reloadConfig(func(cfg object) {
+		cfg["records"] = w.records.addr
+		classes := cfg["settings"].(object)["classes"].([]object)
+		delete(classes[3], "aim_stretch") // a key that may be absent
+		added := maps.Clone(classes[0])
+		added["name"] = "added"
+		cfg["settings"].(object)["classes"] = append(classes[1:], added) // a class is dropped, and one added
+		cfg["settings"].(object)["tenants"] = []object{{"name": "a key that is new", "allowance_per_s": 1}}
+	})
+	assert.Contains(t, line, `"changed":["records"],"at_next_start":["settings"]`)
+	requireCallsServed("complete file")
+	assert.Equal(t, 1, w.records.countReceived("OP"), "the complete file must take effect")
+
+	line = w.reloadText(without("records"))
+	assert.Contains(t, line, "records: missing", "also after a reload")
+	requireCallsServed("after a reload")
+	w.terminate()
+}
+
+// TestReloadReplacesEngine: a file with upstreams in place of the engine is complete; it takes effect at the next start.
+func TestReloadReplacesEngine(t *testing.T) {
+	t.Parallel()
+	w := newTestbed(t, nil)
+	upstream := newUpstreamStandin(t)
+	line := w.reloadConfig(func(cfg object) {
+		delete(cfg, "engine")
+		cfg["ajp"].(object)["upstreams"] = []string{upstream.addr}
+	})
+	assert.Contains(t, line, `"at_next_start":["engine","ajp.upstreams"]`)
+	assert.Equal(t, 200, w.responseStatus("nom-submit", "ok"))
+	line = w.reloadConfig(func(cfg object) {
+		cfg["engine"] = w.engine.addr
+		delete(cfg["ajp"].(object), "upstreams")
+	})
+	assert.Contains(t, line, `"msg":"configuration reloaded"`)
+	assert.Equal(t, 200, w.responseStatus("nom-submit", "ok"))
+	w.terminate()
+}
+
+// TestStartWithoutRecords: a service may have no records service, as those of the last tier; if its classes make calls, a
+// line at the start says that these will fail.
+func TestStartWithoutRecords(t *testing.T) {
+	t.Parallel()
+	for dependency, warned := range map[string]bool{"tier": true, "none": false} {
+		e := newEngineStandin(t)
+		s := startService(t, func(cfg object) {
+			cfg["engine"] = e.addr
+			cfg["settings"].(object)["family_info"].(object)["below"] = dependency
+		})
+		s.awaitReady()
+		w := &testbed{service: s, engine: e}
+		assert.Equal(t, 200, w.responseStatus("nom-submit", "ok"))
+		want := `"msg":"no records service configured, calls will fail","name":"n3","classes":["balance-view","nom-update","nom-submit"]`
+		assert.Equal(t, warned, strings.Contains(s.log(), want), dependency)
+		s.terminate()
+	}
+}
+
+// withoutKey returns a JSON document without the key at a path; a number in the path is the index of an array's element.
+func withoutKey(t *testing.T, document []byte, path ...string) []byte {
+	var root any
+	require.NoError(t, json.Unmarshal(document, &root))
+	parent := root
+	for _, step := range path[:len(path)-1] {
+		if elements, ok := parent.([]any); ok {
+			index, err := strconv.Atoi(step)
+			require.NoError(t, err)
+			parent = elements[index]
+			continue
+		}
+		parent = parent.(object)[step]
+	}
+	last := path[len(path)-1]
+	require.Contains(t, parent, last)
+	delete(parent.(object), last)
+	changed, err := json.Marshal(root)
+	require.NoError(t, err)
+	return changed
+}
+
 // TestReloadAtOnce: SIGHUP never ends the program, neither during the start nor during a drain.
 func TestReloadAtOnce(t *testing.T) {
 	t.Parallel()
