--- a/internal/transport/fastcgi/conn_test.go
+++ b/internal/transport/fastcgi/conn_test.go
@@ -26,6 +26,14 @@
 		{typeStdin, 1, []byte("ok")}, {typeStdin, 1, nil}}
 }
 
+// encodeRecords returns the bytes of records without padding, with the given request id.
+func encodeRecords(id uint16, records []record) (encoded []byte) {
+	for _, r := range records {
+		encoded = append(appendHeader(encoded, r.recordType, id, len(r.content)), r.content...)
+	}
+	return encoded
+}
+
 // blockingHandler is a handler that blocks the event loop until unblock is closed.
 type blockingHandler struct{ started, unblock chan struct{} }
 
@@ -50,11 +58,7 @@
 	unblock := sync.OnceFunc(func() { close(b.unblock) })
 	defer unblock()
 	c, peer := f.connect()
-	var request []byte
-	for _, r := range completeRequestRecords() {
-		request = append(appendHeader(request, r.recordType, r.id, len(r.content)), r.content...)
-	}
-	_, err = peer.Write(request)
+	_, err = peer.Write(encodeRecords(1, completeRequestRecords()))
 	require.NoError(t, err)
 	require.Eventually(t, c.HasPartialMessage, 10*time.Second, time.Millisecond)
 	require.False(t, c.CloseIfIdle(time.Now().Add(time.Hour), 0))
@@ -91,11 +95,7 @@
 	peer, err := net.Dial("tcp", ln.Addr().String())
 	require.NoError(t, err)
 	defer peer.Close()
-	var request []byte
-	for _, r := range completeRequestRecords() {
-		request = append(appendHeader(request, r.recordType, r.id, len(r.content)), r.content...)
-	}
-	_, err = peer.Write(request)
+	_, err = peer.Write(encodeRecords(1, completeRequestRecords()))
 	require.NoError(t, err)
 	g := <-conns
 	<-g.started
--- a/internal/transport/fastcgi/draining_conn_test.go
+++ b/internal/transport/fastcgi/draining_conn_test.go
@@ -12,14 +12,6 @@
 	"oxbowbridge/internal/proxy/exchange"
 )
 
-// encodeRecords returns the bytes of records without padding, with the given request id.
-func encodeRecords(id uint16, records []record) (encoded []byte) {
-	for _, r := range records {
-		encoded = append(appendHeader(encoded, r.recordType, id, len(r.content)), r.content...)
-	}
-	return encoded
-}
-
 // requireEndRequest reads the next record and requires that it ends the request with the protocol status.
 func requireEndRequest(t *testing.T, peer net.Conn, id uint16, status byte) {
 	t.Helper()
