Evict slow writers when connections run out

Cause: evictOne never takes a used connection with part of a message, which was right while that part could last for 2 s at most.

Evidence: TestSlowWritersLeaveRoom fails without the change (connection 0 of 30 is closed, 3 s after the crowd came; 80 descriptors).

Why this works: when no other connection can be evicted, one on which only part of a request has been arriving for 2 s gives way, as it would have before; its request is rejected, not dropped. While there is room it is served.

A request's time now counts from its very first byte: a record that trickles in before it is complete (FastCGI BEGIN_REQUEST, AJP FORWARD_REQUEST) counted only from its end, so that a request could take twice the limit. MessageHandled replaces the arithmetic on buffered lengths.

--- a/internal/transport/ajp/conn.go
+++ b/internal/transport/ajp/conn.go
@@ -23,10 +23,15 @@
 }
 
 // Feed parses received bytes.
-func (c *conn) Feed(received []byte) error { return c.parser.feed(received, c.handlePacket) }
+func (c *conn) Feed(received []byte) error {
+	return c.parser.feed(received, func(content []byte) error {
+		defer c.MessageHandled()
+		return c.handlePacket(content)
+	})
+}
 
-// BufferedBytes returns the length of the partial packet that the parser holds.
-func (c *conn) BufferedBytes() int { return len(c.parser.buf) }
+// HoldsPartialMessage reports whether the parser holds part of a packet.
+func (c *conn) HoldsPartialMessage() bool { return len(c.parser.buf) > 0 }
 
 // IncompleteSince returns when the request started if its body has not arrived completely.
 func (c *conn) IncompleteSince() (startedAt time.Time, incomplete bool) {
@@ -36,6 +41,9 @@
 	return c.openReq.StartedAt(), true
 }
 
+// HasCompleteRequest reports whether the request has arrived completely and has no response yet.
+func (c *conn) HasCompleteRequest() bool { return c.openReq != nil && c.openReq.complete }
+
 // RejectIncomplete rejects the request if its body has not arrived completely, and returns the number of
 // rejected requests.
 func (c *conn) RejectIncomplete() (rejected int) {
--- a/internal/transport/fastcgi/conn.go
+++ b/internal/transport/fastcgi/conn.go
@@ -28,10 +28,15 @@
 }
 
 // Feed parses received bytes.
-func (c *conn) Feed(received []byte) error { return c.parser.feed(received, c.handleRecord) }
+func (c *conn) Feed(received []byte) error {
+	return c.parser.feed(received, func(r record) error {
+		defer c.MessageHandled()
+		return c.handleRecord(r)
+	})
+}
 
-// BufferedBytes returns the length of the partial record that the parser holds.
-func (c *conn) BufferedBytes() int { return len(c.parser.buf) }
+// HoldsPartialMessage reports whether the parser holds part of a record.
+func (c *conn) HoldsPartialMessage() bool { return len(c.parser.buf) > 0 }
 
 // IncompleteSince returns when the oldest request started that has not arrived completely.
 func (c *conn) IncompleteSince() (startedAt time.Time, incomplete bool) {
@@ -47,6 +52,16 @@
 	return startedAt, incomplete
 }
 
+// HasCompleteRequest reports whether a request that has arrived completely has no response yet.
+func (c *conn) HasCompleteRequest() bool {
+	for _, openReq := range c.openRequests {
+		if openReq.inputEnded && !openReq.Settled() {
+			return true
+		}
+	}
+	return false
+}
+
 // RejectIncomplete rejects the requests that have not arrived completely, and returns how many of them had no
 // response. Further records of these requests are skipped.
 func (c *conn) RejectIncomplete() (rejected int) {
--- a/internal/transport/frontend/conn.go
+++ b/internal/transport/frontend/conn.go
@@ -12,15 +12,18 @@
 // Codec is the protocol-specific part of one connection: its parser, and the requests that have started
 // on the connection. The lock of the Conn guards the requests.
 type Codec interface {
-	// Feed parses received bytes and handles each complete message, up to the first malformed one.
-	// It is called on the event loop's goroutine, and not again after an error.
+	// Feed parses received bytes and handles each complete message, up to the first malformed one. It calls
+	// Conn.MessageHandled after each of them. It is called on the event loop's goroutine, and not again after an error.
 	Feed(received []byte) error
-	// BufferedBytes returns the length of the partial message that the parser has buffered, or 0.
+	// HoldsPartialMessage reports whether the parser has buffered part of a message.
 	// It is called on the event loop's goroutine.
-	BufferedBytes() int
+	HoldsPartialMessage() bool
 	// IncompleteSince returns when the oldest request started that was not received completely, or false
 	// if there is none. The lock of the Conn must be held.
 	IncompleteSince() (startedAt time.Time, incomplete bool)
+	// HasCompleteRequest reports whether a request was received completely and has no response yet. The lock of
+	// the Conn must be held.
+	HasCompleteRequest() bool
 	// RejectIncomplete removes the requests that were not received completely, and rejects those that
 	// had no response. It returns how many it rejected. The lock of the Conn must be held.
 	RejectIncomplete() (rejected int)
@@ -57,9 +60,10 @@
 	consecutiveInvalid atomic.Int32 // invalid requests since the latest valid one
 
 	// Used on the event loop's goroutine only.
-	malformed     bool // the input was malformed; further input is dropped
-	skippedBytes  int  // bytes that belonged to no request, since the latest request
-	bufferedBytes int  // length of the partial message after the latest bytes
+	malformed    bool      // the input was malformed; further input is dropped
+	skippedBytes int       // bytes that belonged to no request, since the latest request
+	receivedAt   time.Time // when the latest bytes arrived
+	messageSince time.Time // when the first byte arrived of the message that is handled, or of the next one
 }
 
 // NewConn returns a Conn whose input is parsed by codec.
@@ -70,19 +74,23 @@
 // OnData passes received bytes to the parser. After malformed input, further bytes are dropped. Earlier
 // requests are still answered, unless the caller floods the connection or does not read responses.
 func (c *Conn) OnData(received []byte) {
+	c.receivedAt = time.Now()
+	if !c.codec.HoldsPartialMessage() {
+		c.messageSince = c.receivedAt
+	}
 	c.parse(received)
-	buffered := c.codec.BufferedBytes()
-	sameMessage := c.bufferedBytes > 0 && buffered == c.bufferedBytes+len(received)
-	c.bufferedBytes = buffered
+	partial := c.codec.HoldsPartialMessage()
 	c.Lock()
 	defer c.Unlock()
 	c.tracker.receivedInput = true
-	c.partialMessage = buffered > 0 && !c.rejectsRequests
-	if !sameMessage {
-		c.partialSince = time.Now()
-	}
+	c.partialMessage = partial && !c.rejectsRequests
+	c.partialSince = c.messageSince
 }
 
+// MessageHandled records that a complete message was handled, after which the next one begins. It is called on the event
+// loop's goroutine.
+func (c *Conn) MessageHandled() { c.messageSince = c.receivedAt }
+
 // OnClose removes the closed connection and reports its open requests as aborted by the caller.
 // Requests that were not received completely are discarded.
 func (c *Conn) OnClose(error) {
@@ -104,9 +112,10 @@
 // be held.
 func (c *Conn) OpenRequests() int { return c.openRequests }
 
-// RequestStarted counts another open request, of which the first bytes have arrived. The lock must be held.
+// RequestStarted counts another open request, which starts with the message that is handled. It is called on the event
+// loop's goroutine. The lock must be held.
 func (c *Conn) RequestStarted(open *OpenRequest) {
-	open.startedAt = time.Now()
+	open.startedAt = c.messageSince
 	c.openRequests++
 }
 
--- a/internal/transport/frontend/evict.go
+++ b/internal/transport/frontend/evict.go
@@ -11,15 +11,19 @@
 // and 4 of evictOne), since its first request may already be on its way.
 const firstRequestGracePeriod = exchange.CloseRaceWindow
 
+// slowRequestGracePeriod is how long a request on a used connection may arrive before the connection can be evicted.
+const slowRequestGracePeriod = 2 * time.Second
+
 // evictOne closes a connection to make room for a new one, and reports whether it could evict one. It
 // tries connections in the order of these groups, and within a group the longest inactive first:
 //
 //  1. no complete request and no part of one, and opened at least firstRequestGracePeriod ago;
 //  2. idle after at least one complete request;
 //  3. no complete request and no part of one, and opened more recently;
-//  4. part of the first request received.
+//  4. part of the first request received;
+//  5. part of a later request received, which has been arriving for at least slowRequestGracePeriod.
 //
-// A connection with open requests or unparsed bytes is never evicted. A complete request may be among
+// A connection with a complete open request or unparsed bytes is never evicted. A complete request may be among
 // the bytes, and the caller could not know that it did not run, so rejecting the new connection is
 // safer. The lock of the Server must be held.
 //
@@ -67,7 +71,8 @@
 			return true
 		}
 	}
-	for _, c := range unused {
+	slow := slices.DeleteFunc(used, func(c *Conn) bool { return !c.onlyReceivesSince(now.Add(-slowRequestGracePeriod)) })
+	for _, c := range slices.Concat(unused, slow) {
 		if !c.HasUnhandledInput() {
 			c.Drain()
 			s.untrack(c)
--- a/internal/transport/frontend/open_request.go
+++ b/internal/transport/frontend/open_request.go
@@ -11,12 +11,12 @@
 // OpenRequest is the state of one request on a connection, from its first byte to its response. A Codec
 // embeds it in its own request type. The lock of the connection guards it.
 type OpenRequest struct {
-	startedAt time.Time         // when the first message of the request arrived
+	startedAt time.Time         // when the first byte of the request arrived
 	settled   bool              // answered or discarded, or the connection is closed: nothing more is written for it
 	submitted *exchange.Request // nil until the request was submitted to the exchange
 }
 
-// StartedAt returns when the first message of the request arrived.
+// StartedAt returns when the first byte of the request arrived.
 func (open *OpenRequest) StartedAt() time.Time { return open.startedAt }
 
 // Settled reports whether the request has its response, or will get none.
--- a/internal/transport/frontend/progress.go
+++ b/internal/transport/frontend/progress.go
@@ -93,6 +93,16 @@
 	c.tracker.silentSweeps = 0
 }
 
+// onlyReceivesSince reports whether no complete request is open, and the oldest incomplete request or message, if any, began to
+// arrive at the given time or before.
+func (c *Conn) onlyReceivesSince(latestStart time.Time) bool {
+	c.Lock()
+	defer c.Unlock()
+	startedAt, incomplete := c.codec.IncompleteSince()
+	slow := incomplete && !startedAt.After(latestStart) || c.partialMessage && !c.partialSince.After(latestStart)
+	return slow && !c.codec.HasCompleteRequest()
+}
+
 // receivesTooSlowly reports whether a request or a message began to arrive more than maxReceiveTime ago and is
 // still incomplete. The lock must be held.
 func (c *Conn) receivesTooSlowly(now time.Time) bool {
--- a/tests/slow_callers_test.go
+++ b/tests/slow_callers_test.go
@@ -226,3 +226,45 @@
 		requireOrderlyClose(t, c, c.r)
 	}
 }
+
+// TestSlowWritersLeaveRoom: callers that write slowly for longer than a request usually takes must not keep others from
+// connecting, not even after a complete request of their own.
+func TestSlowWritersLeaveRoom(t *testing.T) {
+	t.Parallel()
+	w := newTestbed(t, func(cfg object) { cfg["limits"].(object)["sockets"] = 80 }) // about 20 connections per frontend
+	for name, dial := range protocolDialers {
+		var slow []protocolClient
+		for i := range 60 {
+			c, err := dial(w.service, i)
+			require.NoError(t, err)
+			defer c.Close()
+			if _, err := c.do("/call/nom-submit", requestHeaders(newTraceID()), []byte("ok")); err == nil {
+				slow = append(slow, c)
+				go writeUntilClosed(netConn(c), requestMessage(c, newTraceID(), make([]byte, 200)))
+			}
+		}
+		require.Greater(t, len(slow), 10, "connections that write slowly with %s", name)
+		time.Sleep(3 * time.Second) // less than the time in which all of them are dropped
+		for i := range 30 {
+			c, err := dial(w.service, i)
+			require.NoError(t, err)
+			defer c.Close()
+			a, err := c.do("/call/nom-submit", requestHeaders(newTraceID()), []byte("ok"))
+			require.NoError(t, err, "connection %d with %s", i, name)
+			assert.Equal(t, 200, a.status)
+		}
+		for _, c := range slow {
+			c.Close()
+		}
+	}
+}
+
+// writeUntilClosed writes a byte of the message each 100 ms, until the message or the connection ends.
+func writeUntilClosed(c net.Conn, message []byte) {
+	for i := range message {
+		if _, err := c.Write(message[i : i+1]); err != nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
