--- a/tests/clients_test.go
+++ b/tests/clients_test.go
@@ -242,3 +242,26 @@
 	}
 	return c.readResponse(body[n:])
 }
+
+// messageConn is a caller's connection in either protocol, on which a test sends and receives messages apart.
+type messageConn interface {
+	Write([]byte) (int, error)
+	Close() error
+	encode(class string, fields map[string]string, body string) []byte
+	receive() (response, error)
+}
+
+func (c *fcgiConn) encode(class string, fields map[string]string, body string) []byte {
+	return fcgiRequest(1, "/call/"+class, fields, []byte(body))
+}
+
+func (c *fcgiConn) receive() (response, error) {
+	_, a, _, err := c.readResponse()
+	return a, err
+}
+
+func (c *ajpConn) encode(class string, fields map[string]string, body string) []byte {
+	return append(ajpForwardRequest("/call/"+class, c.secret, fields, len(body)), ajpBodyChunk([]byte(body))...)
+}
+
+func (c *ajpConn) receive() (response, error) { return c.readResponse(nil) }
--- a/tests/slow_callers_test.go
+++ b/tests/slow_callers_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,15 +66,8 @@
 func doSlowly(t *testing.T, client protocolClient, trace string, duration time.Duration) response {
 	t.Helper()
 	const pieces = 21
-	writeSlowly(t, netConn(client), requestMessage(client, trace, []byte("ok")), pieces, duration)
-	var a response
-	var err error
-	switch c := client.(type) {
-	case *ajpConn:
-		a, err = c.readResponse(nil)
-	case *fcgiConn:
-		_, a, _, err = c.readResponse()
-	}
+	writeSlowly(t, client.(net.Conn), nomSubmit(client, trace, "ok"), pieces, duration)
+	a, err := client.(messageConn).receive()
 	require.NoError(t, err)
 	return a
 }
@@ -97,8 +91,8 @@
 			require.NoError(t, err)
 			require.Equal(t, 200, a.status)
 			trace := newTraceID()
-			message := requestMessage(c, trace, []byte("ok"))
-			writeSlowly(t, netConn(c), message[:len(message)-5], 21, 3*time.Second)
+			message := nomSubmit(c, trace, "ok")
+			writeSlowly(t, c.(net.Conn), message[:len(message)-5], 21, 3*time.Second)
 			stoppedAt := time.Now()
 			requireRejectedAndClosed(t, c)
 			assert.Less(t, time.Since(stoppedAt), maxSilence)
@@ -142,12 +136,12 @@
 			require.Equal(t, 200, a.status)
 			startedAt := time.Now()
 			go func() {
-				conn := netConn(c)
+				conn := c.(net.Conn)
 				for _, err := conn.Write(tt.begin); err == nil; _, err = conn.Write(tt.repeated) {
 					time.Sleep(writeInterval)
 				}
 			}()
-			_, err = io.Copy(io.Discard, netConn(c))
+			_, err = io.Copy(io.Discard, c.(net.Conn))
 			require.NoError(t, err, "still open, or reset")
 			open := time.Since(startedAt)
 			assert.Greater(t, open, minReceiveTime-writeInterval)
@@ -188,12 +182,9 @@
 	t.Fatal("the forgotten request has no response")
 }
 
-// requestMessage returns the bytes of a complete request to the class nom-submit in the client's protocol.
-func requestMessage(client protocolClient, trace string, body []byte) []byte {
-	if c, ok := client.(*ajpConn); ok {
-		return append(ajpForwardRequest("/call/nom-submit", c.secret, requestHeaders(trace), len(body)), ajpBodyChunk(body)...)
-	}
-	return fcgiRequest(1, "/call/nom-submit", requestHeaders(trace), body)
+// nomSubmit returns the bytes of a complete request to the class nom-submit in the client's protocol.
+func nomSubmit(client protocolClient, trace, body string) []byte {
+	return client.(messageConn).encode("nom-submit", requestHeaders(trace), body)
 }
 
 // fcgiRequestWithoutEnd returns a request whose body has begun.
@@ -202,16 +193,6 @@
 	return request[:len(request)-len(fcgiRecord(5, 1, nil))]
 }
 
-// netConn returns the connection of a client.
-func netConn(client protocolClient) net.Conn {
-	switch c := client.(type) {
-	case *ajpConn:
-		return c.Conn
-	default:
-		return client.(*fcgiConn).Conn
-	}
-}
-
 // requireRejectedAndClosed requires a response that rejects the request, and then an orderly close.
 func requireRejectedAndClosed(t *testing.T, client protocolClient) {
 	t.Helper()
@@ -240,7 +221,7 @@
 			defer c.Close()
 			if _, err := c.do("/call/nom-submit", requestHeaders(newTraceID()), []byte("ok")); err == nil {
 				slow = append(slow, c)
-				go writeUntilClosed(netConn(c), requestMessage(c, newTraceID(), make([]byte, 200)))
+				go writeUntilClosed(c.(net.Conn), nomSubmit(c, newTraceID(), strings.Repeat("x", 200)))
 			}
 		}
 		require.Greater(t, len(slow), 10, "connections that write slowly with %s", name)
--- a/tests/soak_callers_test.go
+++ b/tests/soak_callers_test.go
@@ -17,32 +17,9 @@
 	rng    *rand.Rand
 	number int
 	sent   int
-	conn   soakConn
+	conn   messageConn
 }
 
-// soakConn is a caller's connection in either protocol.
-type soakConn interface {
-	Write([]byte) (int, error)
-	Close() error
-	encode(class string, fields map[string]string, body string) []byte
-	receive() (response, error)
-}
-
-func (c *fcgiConn) encode(class string, fields map[string]string, body string) []byte {
-	return fcgiRequest(1, "/call/"+class, fields, []byte(body))
-}
-
-func (c *fcgiConn) receive() (response, error) {
-	_, a, _, err := c.readResponse()
-	return a, err
-}
-
-func (c *ajpConn) encode(class string, fields map[string]string, body string) []byte {
-	return append(ajpForwardRequest("/call/"+class, c.secret, fields, len(body)), ajpBodyChunk([]byte(body))...)
-}
-
-func (c *ajpConn) receive() (response, error) { return c.readResponse(nil) }
-
 // protocol returns the protocol of all connections of the caller.
 func (c *soakCaller) protocol() string {
 	if c.number%2 == 0 {
@@ -51,7 +28,7 @@
 	return "ajp"
 }
 
-func (c *soakCaller) dial() (soakConn, error) {
+func (c *soakCaller) dial() (messageConn, error) {
 	if c.protocol() == "fastcgi" {
 		return dialFCGI(c.fcgiAddr)
 	}
