Review case 10: a read with a bounded age is answered from an emptied state

A standby of the store falls silent for 6 s and is taken off the list of members meanwhile. When it goes on, it joins again with an emptied state, and answers reads with ?stale=60s from that state: 404 for a key that was written before.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -11,3 +11,4 @@
 go build -o bin/review-2/lease-group "$source/rig.go" "$source/acts.go" "$source/lease_group.go"
 go build -o bin/review-2/maintenance "$source/rig.go" "$source/acts.go" "$source/maintenance.go"
 go build -o bin/review-2/backup "$source/rig.go" "$source/link.go" "$source/backup.go"
+go build -o bin/review-2/stale-read "$source/rig.go" "$source/stale_read.go"
