Review case 7: one silent upstream of five stops the service for good

One of five AJP upstreams goes silent with its connections open. Runs at it never end, and their places are not given back after their callers were answered. After seven bursts the service serves nothing, with four sound upstreams idle.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,7 +8,8 @@
 go build -o bin/review-2/standin ./examples/standin
 go build -o bin/review-2/worker "$source/worker/main.go"
 go build -o bin/review-2/half-requests "$source/rig.go" "$source/fastcgi.go" "$source/half_requests.go"
+go build -o bin/review-2/upstream "$source/upstream/main.go"
+go build -o bin/review-2/silent-upstream "$source/rig.go" "$source/fastcgi.go" "$source/acts.go" "$source/silent_upstream.go"
 go build -o bin/review-2/lease-group "$source/rig.go" "$source/acts.go" "$source/lease_group.go"
 go build -o bin/review-2/maintenance "$source/rig.go" "$source/acts.go" "$source/maintenance.go"
-go build -o bin/review-2/backup "$source/rig.go" "$source/link.go" "$source/backup.go"
 go build -o bin/review-2/stale-read "$source/rig.go" "$source/stale_read.go"
