--- a/internal/transport/fastcgi/slow_reader_test.go
+++ b/internal/transport/fastcgi/slow_reader_test.go
@@ -123,6 +123,8 @@
 	_, err := s.peer.Write(encodeRecords(1, request[:len(request)-1]))
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { s.Lock(); defer s.Unlock(); return s.OpenRequests() == 1 }, 10*time.Second, time.Millisecond)
+	// The first sweep must count the input, which the event loop reports after it has handled all of it.
+	require.Eventually(t, func() bool { return !s.HasUnhandledInput() }, 10*time.Second, time.Millisecond)
 	for range sweepsUntilClosed {
 		s.sweep()
 	}
