Limit what all connections hold of incomplete requests together

Cause: each request and each connection had a limit, all connections together had none, and only complete requests counted against limits.memory_mb.

Change: internal/proxy/memquota counts what the connections of both frontends hold of incomplete messages and requests, against the third of the memory that is for requests, less 8 KB for each complete one. Beyond it, the largest holders reject their incomplete requests. That is safe: a request is held from its last byte on. Complete requests on the same connection are answered, and a FastCGI connection stays open; the rest of a partial record is skipped. An AJP connection is closed, since the rest of a body looks like a request. Small holders, such as a balancer that writes slowly, keep theirs. 17 such rejections in a row close a connection, as 17 invalid requests do. Both parsers are one splitter now, which buffers only partial frames.

--- a/cmd/oxbowbridge/service.go
+++ b/cmd/oxbowbridge/service.go
@@ -19,16 +19,6 @@
 )
 
 const (
-	// openRequestKB is the memory of an open request in this process, in KiB: its body, its
-	// result and internal state.
-	openRequestKB = 8
-	// openRequestsDivisor determines the memory for open requests: limits.memory_mb divided by
-	// this number.
-	openRequestsDivisor = 3
-	// idempotencyKeysDivisor determines the memory for idempotency keys and their results:
-	// limits.memory_mb divided by this number. Together with the memory for open requests this
-	// is less than heapLimitFraction of limits.memory_mb.
-	idempotencyKeysDivisor = 5
 	// dependencyShared is the value of the setting family_info.below for a dependency that all
 	// services share.
 	dependencyShared = "shared"
@@ -127,18 +117,6 @@
 	s.exchange.Post(exchange.Callback(func() { s.dispatcher.Drain(signaledAt.Sub(s.started), timeout) }))
 }
 
-// maxOpenRequests returns the maximum number of open requests, from the memory for them.
-func maxOpenRequests(cfg *config) int {
-	memoryKB := int(cfg.Limits.MemoryMB) << 10
-	return memoryKB / openRequestKB / openRequestsDivisor
-}
-
-// maxIdempotencyKeyBytes returns the memory limit of the idempotency key table, in bytes.
-func maxIdempotencyKeyBytes(cfg *config) int {
-	memoryBytes := int(cfg.Limits.MemoryMB) << 20
-	return memoryBytes / idempotencyKeysDivisor
-}
-
 // callLinger returns how long an abandoned call stays in flight at a dependency that all
 // services share, or 0 if the dependency is not shared.
 func callLinger(cfg *config) time.Duration {
--- a/internal/proxy/exchange/exchange.go
+++ b/internal/proxy/exchange/exchange.go
@@ -50,6 +50,13 @@
 	x.mu.Unlock()
 }
 
+// OpenRequests returns the number of open requests.
+func (x *Exchange) OpenRequests() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.openRequests
+}
+
 // Post adds an event other than a request to the queue. The queue needs no limit for these events,
 // because each is caused by a request, job or connection, and their numbers are limited.
 func (x *Exchange) Post(e Event) {
--- a/internal/transport/ajp/conn.go
+++ b/internal/transport/ajp/conn.go
@@ -31,7 +31,7 @@
 }
 
 // HoldsPartialMessage reports whether the parser holds part of a packet.
-func (c *conn) HoldsPartialMessage() bool { return len(c.parser.buf) > 0 }
+func (c *conn) HoldsPartialMessage() bool { return c.parser.HasPartialFrame() }
 
 // IncompleteSince returns when the request started if its body has not arrived completely.
 func (c *conn) IncompleteSince() (startedAt time.Time, incomplete bool) {
@@ -56,6 +56,22 @@
 	return 1
 }
 
+// HeldBytes returns the memory of the parser and of a request whose body has not arrived completely.
+func (c *conn) HeldBytes() int {
+	held := c.parser.HeldBytes()
+	if _, incomplete := c.IncompleteSince(); incomplete {
+		held += frontend.OpenRequestOverheadBytes + c.openReq.headBytes + cap(c.openReq.body)
+	}
+	return held
+}
+
+// ReleaseInput rejects a request whose body has not arrived completely, and discards a partial packet. The rest of a body
+// may still arrive, so the connection can't be used for further requests.
+func (c *conn) ReleaseInput() (rejected int, synchronized bool) {
+	c.parser.DiscardPartialFrame()
+	return c.RejectIncomplete(), false
+}
+
 // DiscardAll discards the open request, if any, and returns it if it was submitted and has no response yet.
 func (c *conn) DiscardAll() (unanswered []*exchange.Request) {
 	if c.openReq == nil {
@@ -108,7 +124,8 @@
 		return err
 	}
 	header := func(name string) string { return fwd.headers[strings.ToLower(name)] }
-	openReq := &openRequest{conn: c, raw: frontend.RawRequest{Path: fwd.path, Method: fwd.method, Header: header}}
+	raw := frontend.RawRequest{Path: fwd.path, Method: fwd.method, Header: header}
+	openReq := &openRequest{conn: c, raw: raw, headBytes: fwd.heldBytes()}
 	if !c.startRequest(openReq) {
 		return c.CountSkippedBytes(len(content))
 	}
--- a/internal/transport/ajp/frontend.go
+++ b/internal/transport/ajp/frontend.go
@@ -28,7 +28,7 @@
 }
 
 func (f *Frontend) newConn(raw *eventloop.Conn) *conn {
-	c := &conn{frontend: f, parser: parser{magic: magicToServer}}
+	c := &conn{frontend: f, parser: newParser(magicToServer)}
 	c.Conn = frontend.NewConn(f.Server, raw, c)
 	return c
 }
--- a/internal/transport/ajp/message.go
+++ b/internal/transport/ajp/message.go
@@ -16,6 +16,18 @@
 	secret  string
 }
 
+// headerOverheadBytes is the memory of a header in addition to its name and value.
+const headerOverheadBytes = 64
+
+// heldBytes returns the memory of the fields in bytes.
+func (f *forwardRequest) heldBytes() int {
+	held := len(f.path) + len(f.secret)
+	for name, value := range f.headers {
+		held += headerOverheadBytes + len(name) + len(value)
+	}
+	return held
+}
+
 // parseForwardRequest parses a FORWARD_REQUEST message. The content starts after the message code.
 func parseForwardRequest(content []byte) (forwardRequest, error) {
 	r := reader{rest: content}
--- a/internal/transport/ajp/open_request.go
+++ b/internal/transport/ajp/open_request.go
@@ -24,7 +24,8 @@
 type openRequest struct {
 	frontend.OpenRequest
 	conn           *conn
-	raw            frontend.RawRequest
+	raw            frontend.RawRequest // until the request is complete
+	headBytes      int                 // memory of raw
 	body           []byte
 	remainingBytes int  // bytes of the body that have not arrived, or unknownLength
 	complete       bool // the request has arrived completely
@@ -41,11 +42,13 @@
 	openReq.complete = true
 	c.RequestArrived()
 	c.Unlock()
-	if openReq.raw.IsHealthCheck() {
+	raw := openReq.raw
+	openReq.raw = frontend.RawRequest{}
+	if raw.IsHealthCheck() {
 		c.sendResponse(openReq, frontend.HealthResponse(c.frontend.Exchange.Healthy()), keepOpen)
 		return nil
 	}
-	req, err := openReq.raw.Decode(c.frontend.Classes, time.Now())
+	req, err := raw.Decode(c.frontend.Classes, time.Now())
 	if err != nil {
 		c.LogFailedRequest(http.StatusBadRequest, err)
 		c.sendResponse(openReq, frontend.HTTPResponse{Status: http.StatusBadRequest}, keepOpen)
--- a/internal/transport/ajp/packet.go
+++ b/internal/transport/ajp/packet.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+
+	"oxbowbridge/internal/transport/framing"
 )
 
 // Message codes. The code is the first byte of a packet's content.
@@ -39,38 +41,30 @@
 	errTruncated  = errors.New("packet is truncated")
 )
 
-// parser splits a byte stream into packets. A packet may arrive in several reads, and one read may contain
-// several packets.
-type parser struct {
-	magic uint16 // expected at the start of each packet
-	buf   []byte
+// packetFormat describes packets that start with the given magic number to the parser.
+func packetFormat(magic uint16) framing.Format {
+	return framing.Format{HeaderBytes: packetHeaderBytes, FrameBytes: func(header []byte) (int, error) {
+		if got := binary.BigEndian.Uint16(header); got != magic {
+			return 0, fmt.Errorf("%w: starts with %#04x", errWrongMagic, got)
+		}
+		contentBytes := int(binary.BigEndian.Uint16(header[2:]))
+		if contentBytes > maxPacketBytes-packetHeaderBytes {
+			return 0, fmt.Errorf("packet content of %d bytes exceeds the limit of %d", contentBytes, maxPacketBytes-packetHeaderBytes)
+		}
+		return packetHeaderBytes + contentBytes, nil
+	}}
 }
 
+// parser splits a byte stream into packets.
+type parser struct{ framing.Splitter }
+
+// newParser returns a parser of packets that start with the given magic number.
+func newParser(magic uint16) parser { return parser{framing.NewSplitter(packetFormat(magic))} }
+
 // feed appends b to the stream and calls handle with the content of each complete packet until a call fails.
 // The content is valid only during the call.
 func (p *parser) feed(b []byte, handle func(content []byte) error) error {
-	p.buf = append(p.buf, b...)
-	rest := p.buf
-	defer func() { p.buf = append(p.buf[:0], rest...) }()
-	for len(rest) >= packetHeaderBytes {
-		if magic := binary.BigEndian.Uint16(rest); magic != p.magic {
-			return fmt.Errorf("%w: starts with %#04x", errWrongMagic, magic)
-		}
-		contentBytes := int(binary.BigEndian.Uint16(rest[2:]))
-		if contentBytes > maxPacketBytes-packetHeaderBytes {
-			return fmt.Errorf("packet content of %d bytes exceeds the limit of %d", contentBytes, maxPacketBytes-packetHeaderBytes)
-		}
-		packetBytes := packetHeaderBytes + contentBytes
-		if len(rest) < packetBytes {
-			return nil
-		}
-		content := rest[packetHeaderBytes:packetBytes]
-		rest = rest[packetBytes:]
-		if err := handle(content); err != nil {
-			return err
-		}
-	}
-	return nil
+	return p.Feed(b, func(frame []byte) error { return handle(frame[packetHeaderBytes:]) })
 }
 
 // encodePacket returns a packet with the given content.
--- a/internal/transport/ajp/packet_test.go
+++ b/internal/transport/ajp/packet_test.go
@@ -25,7 +25,7 @@
 	f.Add([]byte{0x12, 0x34, 0xff, 0xff}, 1)
 	f.Fuzz(func(t *testing.T, in []byte, cut int) {
 		read := func(pieces ...[]byte) (out []string) {
-			p := parser{magic: magicToServer}
+			p := newParser(magicToServer)
 			for _, b := range pieces {
 				err := p.feed(b, func(content []byte) error {
 					out = append(out, string(content))
--- a/internal/transport/ajp/upstream_placement.go
+++ b/internal/transport/ajp/upstream_placement.go
@@ -75,7 +75,7 @@
 
 // connect dials a server for a run. If r is nil, the connection only checks that the server is available.
 func (p *UpstreamPool) connect(addr string, r *upstreamRun) {
-	c := &upstreamConn{pool: p, addr: addr, server: p.server(addr), parser: parser{magic: magicToWebServer}}
+	c := &upstreamConn{pool: p, addr: addr, server: p.server(addr), parser: newParser(magicToWebServer)}
 	c.server.connCount++
 	if r != nil {
 		c.attachRun(r)
--- a/internal/transport/fastcgi/conn.go
+++ b/internal/transport/fastcgi/conn.go
@@ -15,6 +15,12 @@
 const (
 	maxOpenRequests = 32      // per connection
 	maxParamsBytes  = 8 << 10 // per request
+	// maxTrackedRequests is the maximum number of requests of a connection that are open, or are answered and not
+	// received completely.
+	maxTrackedRequests = 2 * maxOpenRequests
+	// minDiscardedBytes is the length of a partial record above which its memory is worth freeing. Records that begin or
+	// abort a request are shorter.
+	minDiscardedBytes = 512
 )
 
 var errTooManyOpenRequests = fmt.Errorf("more than %d open requests", maxOpenRequests)
@@ -36,7 +42,7 @@
 }
 
 // HoldsPartialMessage reports whether the parser holds part of a record.
-func (c *conn) HoldsPartialMessage() bool { return len(c.parser.buf) > 0 }
+func (c *conn) HoldsPartialMessage() bool { return c.parser.HasPartialFrame() }
 
 // IncompleteSince returns when the oldest request started that has not arrived completely.
 func (c *conn) IncompleteSince() (startedAt time.Time, incomplete bool) {
@@ -79,6 +85,26 @@
 	return rejected
 }
 
+// HeldBytes returns the memory of the parser and of the requests that have not arrived completely.
+func (c *conn) HeldBytes() int {
+	held := c.parser.HeldBytes()
+	for _, openReq := range c.openRequests {
+		if !openReq.inputEnded {
+			held += frontend.OpenRequestOverheadBytes + cap(openReq.params) + cap(openReq.body)
+		}
+	}
+	return held
+}
+
+// ReleaseInput rejects the requests that have not arrived completely, and discards a long partial record, which belongs to
+// one of them. Further records of these requests are skipped.
+func (c *conn) ReleaseInput() (rejected int, synchronized bool) {
+	if c.parser.HeldBytes() > minDiscardedBytes {
+		c.parser.DiscardPartialFrame()
+	}
+	return c.RejectIncomplete(), true
+}
+
 // DiscardAll discards all requests and returns the submitted ones that have no response yet.
 func (c *conn) DiscardAll() (unanswered []*exchange.Request) {
 	for _, openReq := range c.openRequests {
@@ -159,7 +185,7 @@
 		c.Unlock()
 		return fmt.Errorf("BEGIN_REQUEST for request id %d, which is still in use", r.id)
 	}
-	tooManyOpen := c.OpenRequests() >= maxOpenRequests
+	tooManyOpen := c.OpenRequests() >= maxOpenRequests || len(c.openRequests) >= maxTrackedRequests
 	if !tooManyOpen && role == roleResponder {
 		started := &openRequest{conn: c, id: r.id, keepAlive: keepAlive}
 		c.openRequests[r.id] = started
--- a/internal/transport/fastcgi/frontend.go
+++ b/internal/transport/fastcgi/frontend.go
@@ -23,7 +23,7 @@
 }
 
 func (f *Frontend) newConn(raw *eventloop.Conn) *conn {
-	c := &conn{server: f.Server, openRequests: map[uint16]*openRequest{}}
+	c := &conn{server: f.Server, parser: newParser(), openRequests: map[uint16]*openRequest{}}
 	c.Conn = frontend.NewConn(f.Server, raw, c)
 	return c
 }
--- a/internal/transport/fastcgi/record.go
+++ b/internal/transport/fastcgi/record.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+
+	"oxbowbridge/internal/transport/framing"
 )
 
 // Record types of the FastCGI specification.
@@ -43,42 +45,43 @@
 	errMalformedPairs = errors.New("malformed name-value pairs")
 )
 
-// record is one record of the stream. Its content is valid only until the next call of parser.feed.
+// record is one record of the stream. Its content is valid only during the call that handles it.
 type record struct {
 	recordType byte
 	id         uint16
 	content    []byte
 }
 
-// parser splits a byte stream into records. A record may arrive in several reads, and one read may contain
-// several records.
-type parser struct{ buf []byte }
+// recordFormat describes records to the parser.
+var recordFormat = framing.Format{HeaderBytes: headerBytes, FrameBytes: recordBytes}
+
+// recordBytes returns the length of a record from its header.
+func recordBytes(header []byte) (int, error) {
+	if header[0] != version {
+		return 0, fmt.Errorf("%w: record has version %d", errWrongVersion, header[0])
+	}
+	contentBytes := contentLength(header)
+	paddingBytes := int(header[6])
+	if contentBytes > maxParsedContentBytes {
+		return 0, fmt.Errorf("record content of %d bytes exceeds the limit of %d", contentBytes, maxParsedContentBytes)
+	}
+	return headerBytes + contentBytes + paddingBytes, nil
+}
+
+// contentLength returns the length of a record's content from its header.
+func contentLength(header []byte) int { return int(binary.BigEndian.Uint16(header[4:])) }
+
+// parser splits a byte stream into records.
+type parser struct{ framing.Splitter }
+
+func newParser() parser { return parser{framing.NewSplitter(recordFormat)} }
 
 // feed appends b to the stream and calls handle for each complete record until a call fails.
 func (p *parser) feed(b []byte, handle func(record) error) error {
-	p.buf = append(p.buf, b...)
-	rest := p.buf
-	defer func() { p.buf = append(p.buf[:0], rest...) }()
-	for len(rest) >= headerBytes {
-		if rest[0] != version {
-			return fmt.Errorf("%w: record has version %d", errWrongVersion, rest[0])
-		}
-		contentBytes := int(binary.BigEndian.Uint16(rest[4:]))
-		paddingBytes := int(rest[6])
-		if contentBytes > maxParsedContentBytes {
-			return fmt.Errorf("record content of %d bytes exceeds the limit of %d", contentBytes, maxParsedContentBytes)
-		}
-		recordBytes := headerBytes + contentBytes + paddingBytes
-		if len(rest) < recordBytes {
-			return nil
-		}
-		r := record{recordType: rest[1], id: binary.BigEndian.Uint16(rest[2:]), content: rest[headerBytes : headerBytes+contentBytes]}
-		rest = rest[recordBytes:]
-		if err := handle(r); err != nil {
-			return err
-		}
-	}
-	return nil
+	return p.Feed(b, func(frame []byte) error {
+		content := frame[headerBytes : headerBytes+contentLength(frame)]
+		return handle(record{recordType: frame[1], id: binary.BigEndian.Uint16(frame[2:]), content: content})
+	})
 }
 
 // appendHeader appends the header of a record without padding.
--- a/internal/transport/fastcgi/record_test.go
+++ b/internal/transport/fastcgi/record_test.go
@@ -16,7 +16,7 @@
 	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"), 5)
 	f.Fuzz(func(t *testing.T, in []byte, cut int) {
 		read := func(pieces ...[]byte) (out []byte) {
-			var p parser
+			p := newParser()
 			for _, b := range pieces {
 				err := p.feed(b, func(r record) error {
 					out = append(append(out, r.recordType), r.content...)
--- a/internal/transport/frontend/conn.go
+++ b/internal/transport/frontend/conn.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oxbowbridge/internal/proxy/exchange"
+	"oxbowbridge/internal/proxy/memquota"
 	"oxbowbridge/internal/transport/eventloop"
 )
 
@@ -27,6 +28,13 @@
 	// RejectIncomplete removes the requests that were not received completely, and rejects those that
 	// had no response. It returns how many it rejected. The lock of the Conn must be held.
 	RejectIncomplete() (rejected int)
+	// HeldBytes returns the memory of the parser's buffer and of the requests that were not received completely, in
+	// bytes. It is called on the event loop's goroutine. The lock of the Conn must be held.
+	HeldBytes() int
+	// ReleaseInput frees the memory that HeldBytes counts, as far as it can, and rejects the requests that were not
+	// received completely. It returns how many it rejected, and whether the connection can be used for further
+	// requests. It is called on the event loop's goroutine. The lock of the Conn must be held.
+	ReleaseInput() (rejected int, synchronized bool)
 	// DiscardAll removes all requests after the connection was closed, and returns those that were
 	// submitted and have no response. The lock of the Conn must be held.
 	DiscardAll() (unanswered []*exchange.Request)
@@ -37,6 +45,7 @@
 //   - it is idle for too long, or its caller makes no progress (reap.go, progress.go);
 //   - it is evicted (evict.go);
 //   - its caller exceeds a limit (limits.go);
+//   - all connections together exceed their memory, and it holds much of it (memory.go);
 //   - the process drains.
 //
 // Drain makes the connection reject further requests, each with a response: the caller does not know of
@@ -48,6 +57,7 @@
 	*eventloop.Conn
 	server *Server
 	codec  Codec
+	input  *memquota.Holder // what the connection holds of incomplete messages and requests
 
 	lastActive      time.Time // when the connection was opened or a request last ended; with AJP, or last started
 	openRequests    int       // requests that have started and have no response
@@ -68,7 +78,9 @@
 
 // NewConn returns a Conn whose input is parsed by codec.
 func NewConn(server *Server, c *eventloop.Conn, codec Codec) *Conn {
-	return &Conn{Conn: c, server: server, codec: codec, lastActive: time.Now()}
+	conn := &Conn{Conn: c, server: server, codec: codec, lastActive: time.Now()}
+	conn.input = server.inputQuota.NewHolder(conn.releaseInput)
+	return conn
 }
 
 // OnData passes received bytes to the parser. After malformed input, further bytes are dropped. Earlier
@@ -81,10 +93,12 @@
 	c.parse(received)
 	partial := c.codec.HoldsPartialMessage()
 	c.Lock()
-	defer c.Unlock()
 	c.tracker.receivedInput = true
 	c.partialMessage = partial && !c.rejectsRequests
 	c.partialSince = c.messageSince
+	held := c.codec.HeldBytes()
+	c.Unlock()
+	c.updateHeldInput(held)
 }
 
 // MessageHandled records that a complete message was handled, after which the next one begins. It is called on the event
@@ -95,6 +109,7 @@
 // Requests that were not received completely are discarded.
 func (c *Conn) OnClose(error) {
 	c.server.remove(c)
+	c.input.Close()
 	c.Lock()
 	c.rejectsRequests = true
 	unanswered := c.codec.DiscardAll()
--- a/internal/transport/frontend/server.go
+++ b/internal/transport/frontend/server.go
@@ -9,6 +9,7 @@
 
 	"oxbowbridge/internal/proxy/exchange"
 	"oxbowbridge/internal/proxy/fdquota"
+	"oxbowbridge/internal/proxy/memquota"
 	"oxbowbridge/internal/transport/eventloop"
 )
 
@@ -23,7 +24,8 @@
 // Server is the listener of one protocol and its connections.
 type Server struct {
 	Config
-	maxReceiveTime time.Duration // see maxReceiveTime
+	maxReceiveTime time.Duration   // see maxReceiveTime
+	inputQuota     *memquota.Quota // see LimitMemory
 
 	mu              sync.Mutex // taken before the lock of a Conn
 	conns           map[*Conn]struct{}
@@ -35,7 +37,7 @@
 
 // NewServer returns a Server. Listen opens its listener.
 func NewServer(c Config) *Server {
-	return &Server{Config: c, maxReceiveTime: maxReceiveTime(c.Classes)}
+	return &Server{Config: c, maxReceiveTime: maxReceiveTime(c.Classes), inputQuota: unlimited()}
 }
 
 // Listen opens the listener and calls accept to create the Conn of each new connection. A connection
