Limit the unread responses of all connections together

Callers would see: a crowd that sends health checks and reads no answers fills the memory, and the service is killed.

Cause: each connection may hold 192 KiB of unread responses, and the results of 32 open requests besides; nothing limited all connections together, nor those that linger after a close. Ruled out: the kernel's buffers, which the process's memory does not count.

Change: what is queued for callers' connections counts against a 32nd of limits.memory_mb (memquota again); beyond it the connections with the most queued bytes are aborted, as one is that exceeds its own limit. Only bytes that the system did not take count, so that callers that read are never the largest.

--- a/cmd/oxbowbridge/frontends.go
+++ b/cmd/oxbowbridge/frontends.go
@@ -13,7 +13,6 @@
 	"oxbowbridge/internal/proxy/dispatch"
 	"oxbowbridge/internal/proxy/exchange"
 	"oxbowbridge/internal/proxy/fdquota"
-	"oxbowbridge/internal/proxy/memquota"
 	"oxbowbridge/internal/transport/ajp"
 	"oxbowbridge/internal/transport/eventloop"
 	"oxbowbridge/internal/transport/fastcgi"
@@ -37,7 +36,7 @@
 	listener interface {
 		dispatch.Frontend
 		Listen(loop *eventloop.Loop, addr string, maxConns int, pool *fdquota.ConnPool) error
-		LimitMemory(input *memquota.Quota)
+		LimitMemory(frontend.MemoryQuotas)
 		Addr() net.Addr
 	}
 	field   string // path in the configuration
@@ -54,9 +53,9 @@
 	if cfg.AJP.ListenAddress != "" {
 		frontends = append(frontends, configuredFrontend{ajp.NewFrontend(x, classes, cfg.AJP.Secret, log), "ajp.listen", cfg.AJP.ListenAddress})
 	}
-	input := inputQuota(cfg, x)
+	quotas := memoryQuotas(cfg, x)
 	for _, f := range frontends {
-		f.listener.LimitMemory(input)
+		f.listener.LimitMemory(quotas)
 	}
 	return frontends
 }
--- a/cmd/oxbowbridge/memory.go
+++ b/cmd/oxbowbridge/memory.go
@@ -3,6 +3,7 @@
 import (
 	"oxbowbridge/internal/proxy/exchange"
 	"oxbowbridge/internal/proxy/memquota"
+	"oxbowbridge/internal/transport/frontend"
 )
 
 // The parts of limits.memory_mb. Each is limits.memory_mb divided by a number. Together they are less than
@@ -14,6 +15,8 @@
 	idempotencyKeysDivisor = 5
 	// minInputDivisor determines the memory for incomplete requests that complete ones can't take.
 	minInputDivisor = 32
+	// outputDivisor determines the memory for responses that callers don't read.
+	outputDivisor = 32
 )
 
 // openRequestKB is the memory of a complete open request in this process, in KiB: its body, its result and internal
@@ -31,11 +34,15 @@
 // maxIdempotencyKeyBytes returns the memory limit of the idempotency key table, in bytes.
 func maxIdempotencyKeyBytes(cfg *config) int { return memoryBytes(cfg) / idempotencyKeysDivisor }
 
-// inputQuota returns the quota for what all callers' connections hold of incomplete requests: the memory for
-// requests that complete ones leave, or the minimum.
-func inputQuota(cfg *config, x *exchange.Exchange) *memquota.Quota {
-	return memquota.New(func() int {
+// memoryQuotas returns the quotas of all callers' connections. Incomplete requests may hold the memory for requests that
+// complete ones leave, or the minimum.
+func memoryQuotas(cfg *config, x *exchange.Exchange) frontend.MemoryQuotas {
+	maxInputBytes := func() int {
 		completeBytes := x.OpenRequests() * (openRequestKB << 10)
 		return max(memoryBytes(cfg)/openRequestsDivisor-completeBytes, memoryBytes(cfg)/minInputDivisor)
-	})
+	}
+	return frontend.MemoryQuotas{
+		Input:  memquota.New(maxInputBytes),
+		Output: memquota.Fixed(memoryBytes(cfg) / outputDivisor),
+	}
 }
--- a/internal/transport/eventloop/conn.go
+++ b/internal/transport/eventloop/conn.go
@@ -36,6 +36,7 @@
 	handler Handler
 
 	writeMu sync.Mutex // serializes writers; acquired before nbio's lock, which is acquired before mu
+	queued  *queuedBytes
 
 	mu                  sync.Mutex // the innermost lock: acquired after nbio's and after the loop's
 	state               connState
@@ -50,8 +51,14 @@
 }
 
 // Write sends b, or queues it, without blocking. If sending fails or the queue would exceed
-// maxQueuedBytes, it aborts the connection.
+// maxQueuedBytes, it aborts the connection. If the quota of LimitQueue is exceeded, it aborts the connections with the
+// most queued bytes.
 func (c *Conn) Write(b []byte) {
+	c.writeAndQueue(b)
+	c.queued.reclaim()
+}
+
+func (c *Conn) writeAndQueue(b []byte) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
 	queued, ok := c.addPendingBytes(len(b))
@@ -72,6 +79,7 @@
 		b = b[sent:]
 	}
 	if len(b) > 0 {
+		c.queued.add(len(b))
 		c.nbConn.Write(b) // queues b, since the socket's send buffer is full
 	}
 }
--- a/internal/transport/eventloop/loop.go
+++ b/internal/transport/eventloop/loop.go
@@ -58,12 +58,14 @@
 	})
 	l.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
 		if c, ok := l.conn(nb); ok {
+			c.queued.add(-n)
 			c.markSent(n)
 		}
 	})
 	l.engine.OnClose(func(nb *nbio.Conn, err error) {
 		if c, ok := l.conn(nb); ok {
 			l.removeClosed(c)
+			c.queued.close()
 			c.handler.OnClose(err)
 		}
 	})
--- a/internal/transport/frontend/conn.go
+++ b/internal/transport/frontend/conn.go
@@ -79,7 +79,7 @@
 // NewConn returns a Conn whose input is parsed by codec.
 func NewConn(server *Server, c *eventloop.Conn, codec Codec) *Conn {
 	conn := &Conn{Conn: c, server: server, codec: codec, lastActive: time.Now()}
-	conn.input = server.inputQuota.NewHolder(conn.releaseInput)
+	conn.input = server.quotas.Input.NewHolder(conn.releaseInput)
 	return conn
 }
 
--- a/internal/transport/frontend/memory.go
+++ b/internal/transport/frontend/memory.go
@@ -11,18 +11,33 @@
 // OpenRequestOverheadBytes is the memory of an incomplete request in addition to what was received of it.
 const OpenRequestOverheadBytes = 256
 
-// unlimited is the quota of a Server without LimitMemory. Its maximum is never reached.
-func unlimited() *memquota.Quota { return memquota.Fixed(math.MaxInt) }
+// unlimited returns the quotas of a Server without LimitMemory. Their maximum is never reached.
+func unlimited() MemoryQuotas {
+	return MemoryQuotas{Input: memquota.Fixed(math.MaxInt), Output: memquota.Fixed(math.MaxInt)}
+}
+
+// MemoryQuotas limit what all connections hold together. Several Servers may share them if their connections belong to
+// the same event loop.
+type MemoryQuotas struct {
+	// Input is the quota for incomplete messages and requests.
+	Input *memquota.Quota
+	// Output is the quota for responses that callers don't read.
+	Output *memquota.Quota
+}
 
-// LimitMemory sets the quota for what all connections hold of incomplete messages and requests. Several Servers may
-// share it if their connections belong to the same event loop. LimitMemory must be called before Listen.
-func (s *Server) LimitMemory(input *memquota.Quota) { s.inputQuota = input }
+// LimitMemory sets the quotas. It must be called before Listen.
+func (s *Server) LimitMemory(quotas MemoryQuotas) { s.quotas = quotas }
+
+// logUnread logs that a connection is aborted because its caller does not read.
+func (s *Server) logUnread() {
+	s.Log.Warn("memory limit of unread responses reached, connection aborted", zap.String("protocol", s.Protocol))
+}
 
 // updateHeldInput reports to the quota how much the connection holds of incomplete messages and requests. If the quota is
 // exceeded, the connections that hold most of it release it, possibly this one. It is called on the event loop's goroutine.
 func (c *Conn) updateHeldInput(bytes int) {
 	c.input.Set(bytes)
-	c.server.inputQuota.Reclaim()
+	c.server.quotas.Input.Reclaim()
 }
 
 // releaseInput rejects the requests of the connection that are incomplete, and frees what was received of them. Complete
--- a/internal/transport/frontend/server.go
+++ b/internal/transport/frontend/server.go
@@ -9,7 +9,6 @@
 
 	"oxbowbridge/internal/proxy/exchange"
 	"oxbowbridge/internal/proxy/fdquota"
-	"oxbowbridge/internal/proxy/memquota"
 	"oxbowbridge/internal/transport/eventloop"
 )
 
@@ -24,8 +23,8 @@
 // Server is the listener of one protocol and its connections.
 type Server struct {
 	Config
-	maxReceiveTime time.Duration   // see maxReceiveTime
-	inputQuota     *memquota.Quota // see LimitMemory
+	maxReceiveTime time.Duration // see maxReceiveTime
+	quotas         MemoryQuotas  // see LimitMemory
 
 	mu              sync.Mutex // taken before the lock of a Conn
 	conns           map[*Conn]struct{}
@@ -37,7 +36,7 @@
 
 // NewServer returns a Server. Listen opens its listener.
 func NewServer(c Config) *Server {
-	return &Server{Config: c, maxReceiveTime: maxReceiveTime(c.Classes), inputQuota: unlimited()}
+	return &Server{Config: c, maxReceiveTime: maxReceiveTime(c.Classes), quotas: unlimited()}
 }
 
 // Listen opens the listener and calls accept to create the Conn of each new connection. A connection
@@ -49,6 +48,7 @@
 	s.maxConns = maxConns
 	s.pool = pool
 	listener, err := loop.Listen(addr, func(raw *eventloop.Conn) eventloop.Handler {
+		raw.LimitQueue(s.quotas.Output, s.logUnread)
 		c := accept(raw)
 		if !s.add(c) {
 			s.Log.Warn("connection rejected: connection limit reached", zap.Int("max_connections", maxConns))
