Do not run requests whose callers have left before they were read

Cause: the event loop reads what lies in the socket before it finds the end of the connection, and submits each request as it is read. The dispatcher starts some of them before the report that the caller has left. Ruled out: the dispatcher, which drops a request that is canceled in the same batch, and nbio, which handles the close right after the bytes.

Change: Submit asks the system first whether the peer has closed or reset (poll with POLLRDHUP). This works since the close is known to the system long before its bytes are read. A close between the look and the run remains, as before: there the caller leaves during the run.

--- a/internal/transport/eventloop/conn.go
+++ b/internal/transport/eventloop/conn.go
@@ -169,6 +169,20 @@
 	return unread || c.isBeingRead()
 }
 
+// PeerClosed reports whether the peer has closed its side of the connection or has reset it. Unlike Handler.OnClose, it does
+// not wait until the bytes that arrived before are read.
+func (c *Conn) PeerClosed() bool {
+	c.nbConn.Lock()
+	defer c.nbConn.Unlock()
+	if closed, _ := c.nbConn.IsClosed(); closed {
+		return true
+	}
+	const closeEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	polled := []unix.PollFd{{Fd: int32(c.nbConn.Hash()), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(polled, 0)
+	return err == nil && n > 0 && polled[0].Revents&closeEvents != 0
+}
+
 // socketHasInput reports whether the socket's receive buffer holds bytes. The caller must hold nbio's
 // lock, and the descriptor must be open.
 func (c *Conn) socketHasInput() bool {
--- a/internal/transport/fastcgi/conn_test.go
+++ b/internal/transport/fastcgi/conn_test.go
@@ -1,9 +1,7 @@
 package fastcgi
 
 import (
-	"net"
 	"strconv"
-	"sync"
 	"testing"
 	"time"
 
@@ -46,20 +44,9 @@
 // a partial message when connections are evicted. The request must be submitted once the loop continues.
 func TestUnreadInputIsNotIdle(t *testing.T) {
 	f := newTestFrontend(t)
-	b := blockingHandler{make(chan struct{}), make(chan struct{})}
-	ln, err := f.Loop.Listen("127.0.0.1:0", func(*eventloop.Conn) eventloop.Handler { return b }, func(err error) { t.Error(err) })
-	require.NoError(t, err)
-	defer ln.Close()
-	blockedPeer, err := net.Dial("tcp", ln.Addr().String())
-	require.NoError(t, err)
-	defer blockedPeer.Close()
-	_, err = blockedPeer.Write([]byte("x"))
-	require.NoError(t, err)
-	<-b.started
-	unblock := sync.OnceFunc(func() { close(b.unblock) })
-	defer unblock()
+	unblock := f.blockLoop()
 	c, peer := f.Connect()
-	_, err = peer.Write(encodeRecords(1, completeRequestRecords()))
+	_, err := peer.Write(encodeRecords(1, completeRequestRecords()))
 	require.NoError(t, err)
 	require.Eventually(t, c.HasPartialMessage, 10*time.Second, time.Millisecond)
 	require.False(t, c.CloseIfIdle(time.Now().Add(time.Hour), 0))
--- a/internal/transport/frontend/open_request.go
+++ b/internal/transport/frontend/open_request.go
@@ -39,10 +39,14 @@
 
 // Submit submits a request to the exchange, and reports false if the process has too many open requests.
 // A request that is already settled is not submitted. Its connection is closed, and the exchange would
-// be notified of the aborted request before it received the request. Submit is called on the event
-// loop's goroutine.
+// be notified of the aborted request before it received the request. A request whose caller has left is not
+// submitted either: it could run before the event loop reads the end of the connection. Submit is called on the
+// event loop's goroutine.
 func (c *Conn) Submit(open *OpenRequest, req *exchange.Request) bool {
 	c.skippedBytes = 0
+	if c.PeerClosed() {
+		return true // OnClose follows and settles the request
+	}
 	accepted := c.submit(open, req)
 	if !accepted {
 		c.server.Log.Warn("request rejected: too many open requests")
