Search the parameters of a FastCGI head instead of keeping a map of them

Cause: the map joined the values of a repeated name each time it came again, which copies 16 MB for a head of 8 KB, on the event loop's goroutine; a head of 2,048 names of two bytes cost 329 KB. Ruled out: the log (sampled), and the number of bytes (heads of long values delay nobody).

Change: a head is checked once, kept as received, and searched for the few values that a request needs. The values are the same, repeated ones joined with commas too.

--- a/internal/transport/fastcgi/open_request.go
+++ b/internal/transport/fastcgi/open_request.go
@@ -37,7 +37,7 @@
 		return nil
 	}
 	req, err := raw.Decode(c.server.Classes, time.Now())
-	if length := p[paramContentLength]; err == nil && length != "" && length != strconv.Itoa(len(openReq.body)) {
+	if length := p.get(paramContentLength); err == nil && length != "" && length != strconv.Itoa(len(openReq.body)) {
 		err = fmt.Errorf("%s is %q but the body has %d bytes", paramContentLength, length, len(openReq.body))
 	}
 	if err != nil {
--- a/internal/transport/fastcgi/params.go
+++ b/internal/transport/fastcgi/params.go
@@ -25,23 +25,32 @@
 // parsePairs calls handle for each name-value pair in b.
 func parsePairs(b []byte, handle func(name, value string)) error {
 	for len(b) > 0 {
-		nameBytes, rest, err := parseLength(b)
+		name, value, rest, err := parsePair(b)
 		if err != nil {
 			return err
 		}
-		valueBytes, rest, err := parseLength(rest)
-		if err != nil {
-			return err
-		}
-		if nameBytes > len(rest) || valueBytes > len(rest)-nameBytes {
-			return errMalformedPairs
-		}
-		handle(string(rest[:nameBytes]), string(rest[nameBytes:nameBytes+valueBytes]))
-		b = rest[nameBytes+valueBytes:]
+		handle(string(name), string(value))
+		b = rest
 	}
 	return nil
 }
 
+// parsePair parses the name-value pair at the start of b, and returns the bytes after it.
+func parsePair(b []byte) (name, value, rest []byte, err error) {
+	nameBytes, rest, err := parseLength(b)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	valueBytes, rest, err := parseLength(rest)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	if nameBytes > len(rest) || valueBytes > len(rest)-nameBytes {
+		return nil, nil, nil, errMalformedPairs
+	}
+	return rest[:nameBytes], rest[nameBytes : nameBytes+valueBytes], rest[nameBytes+valueBytes:], nil
+}
+
 // The length of a name or value is encoded in one byte, or in four bytes with the highest bit set.
 const (
 	shortLengthLimit = 0x80
@@ -72,25 +81,44 @@
 	return append(b, value...)
 }
 
-// params are the parameters of one request.
-type params map[string]string
+// params are the parameters of one request, as received. A value is searched when it is needed: a head may have thousands
+// of parameters, and a request needs few.
+type params []byte
 
-// parseParams parses the PARAMS stream. The values of a repeated name are joined with a comma, as in HTTP, so
-// that no single valid value remains.
+// parseParams checks the PARAMS stream and returns its parameters.
 func parseParams(stream []byte) (params, error) {
-	p := params{}
-	err := parsePairs(stream, func(name, value string) {
-		if earlier, duplicate := p[name]; duplicate {
-			value = earlier + ", " + value
+	for rest := stream; len(rest) > 0; {
+		var err error
+		if _, _, rest, err = parsePair(rest); err != nil {
+			return nil, err
 		}
-		p[name] = value
-	})
-	return p, err
+	}
+	return stream, nil
+}
+
+// get returns the value of a parameter, "" if it is absent. The values of a repeated name are joined with a comma, as in
+// HTTP, so that no single valid value remains.
+func (p params) get(wanted string) string {
+	var joined []byte
+	found := false
+	for rest := []byte(p); len(rest) > 0; {
+		var name, value []byte
+		name, value, rest, _ = parsePair(rest) // parseParams has checked it
+		if string(name) != wanted {
+			continue
+		}
+		if found {
+			joined = append(joined, ", "...)
+		}
+		joined = append(joined, value...)
+		found = true
+	}
+	return string(joined)
 }
 
 // toRawRequest converts the parameters to a frontend.RawRequest.
 func (p params) toRawRequest() frontend.RawRequest {
-	return frontend.RawRequest{Path: p[paramPath], Method: p[paramMethod], Header: func(name string) string {
-		return p[paramHeaderPrefix+strings.ToUpper(strings.ReplaceAll(name, "-", "_"))]
+	return frontend.RawRequest{Path: p.get(paramPath), Method: p.get(paramMethod), Header: func(name string) string {
+		return p.get(paramHeaderPrefix + strings.ToUpper(strings.ReplaceAll(name, "-", "_")))
 	}}
 }
