Tests: set the memory quotas before the listener accepts

The race detector showed it in five of the new tests: LimitMemory was called after the test's listener had started, and one test read the requests of a connection without its lock. The program sets the quotas before Listen. Checks unchanged.

--- a/internal/transport/ajp/memory_test.go
+++ b/internal/transport/ajp/memory_test.go
@@ -17,9 +17,9 @@
 // TestLargestHolderIsRejected guards against exceeding the memory: if all connections together hold too much of
 // incomplete requests, the largest holder gets a rejection and is closed, and the smaller one is served.
 func TestLargestHolderIsRejected(t *testing.T) {
-	f := newTestFrontend(t)
 	input := memquota.Fixed(8 << 10)
-	f.LimitMemory(frontend.MemoryQuotas{Input: input, Output: memquota.Fixed(1 << 30)})
+	quotas := frontend.MemoryQuotas{Input: input, Output: memquota.Fixed(1 << 30)}
+	f := newConfiguredFrontend(t, func(f *Frontend) { f.LimitMemory(quotas) })
 	connect := func() (*conn, net.Conn) {
 		c, peer := f.Connect()
 		require.NoError(t, peer.SetDeadline(time.Now().Add(10*time.Second)))
--- a/internal/transport/fastcgi/conn_test.go
+++ b/internal/transport/fastcgi/conn_test.go
@@ -97,7 +97,13 @@
 }
 
 func newTestFrontend(t *testing.T) *testFrontend {
+	return newConfiguredFrontend(t, func(*Frontend) {})
+}
+
+// newConfiguredFrontend is newTestFrontend with a change to the frontend before connections are accepted.
+func newConfiguredFrontend(t *testing.T, configure func(*Frontend)) *testFrontend {
 	f := New(exchange.New(10), map[string]frontend.Class{"nom-submit": {}}, zap.NewNop())
+	configure(f)
 	return &testFrontend{t, f, looptest.NewServer(t, f.newConn)}
 }
 
--- a/internal/transport/fastcgi/memory_test.go
+++ b/internal/transport/fastcgi/memory_test.go
@@ -21,9 +21,8 @@
 }
 
 func newLimitedFrontend(t *testing.T, maxInputBytes int) *limitedFrontend {
-	f := &limitedFrontend{newTestFrontend(t), memquota.Fixed(maxInputBytes)}
-	f.LimitMemory(frontend.MemoryQuotas{Input: f.input, Output: memquota.Fixed(1 << 30)})
-	return f
+	quotas := frontend.MemoryQuotas{Input: memquota.Fixed(maxInputBytes), Output: memquota.Fixed(1 << 30)}
+	return &limitedFrontend{newConfiguredFrontend(t, func(f *Frontend) { f.LimitMemory(quotas) }), quotas.Input}
 }
 
 // connect returns both ends of a connection.
@@ -142,6 +141,8 @@
 			break
 		}
 	}
+	c.Lock()
+	defer c.Unlock()
 	require.LessOrEqual(t, len(c.openRequests), maxTrackedRequests)
 }
 
