--- a/tests/caller_memory_test.go
+++ b/tests/caller_memory_test.go
@@ -32,6 +32,7 @@
 	protocol string        // "fastcgi" or "ajp"
 	message  func() []byte // is written first
 	repeated []byte        // is then written again and again, until the service takes no more
+	interval time.Duration // pause before each repetition
 	unread   bool          // the client reads nothing
 	overload bool          // the requests are valid and more than the engine can do, so that others may be rejected
 }
@@ -46,6 +47,10 @@
 			return append(append(fcgiRecord(4, id, largeParameters(8000)), fcgiRecord(4, id, nil)...), fcgiRecord(5, id, make([]byte, 2<<10))...)
 		})
 	}},
+	"many requests that are written slowly": {protocol: "fastcgi", interval: 100 * time.Millisecond, repeated: fcgiRecord(4, 1, []byte("x")),
+		message: func() []byte {
+			return incompleteRequests(openPerConnection, func(id uint16) []byte { return fcgiRecord(4, id, largeParameters(7000)) })
+		}},
 	"half of a large record": {protocol: "fastcgi", message: func() []byte {
 		return incompleteRequests(1, func(id uint16) []byte { return fcgiRecord(4, id, make([]byte, maxRecordBytes))[:maxRecordBytes] })
 	}},
@@ -178,16 +183,18 @@
 
 // use writes and reads on a connection until the service closes it or the context ends.
 func (b crowdBehavior) use(ctx context.Context, c *net.TCPConn) {
+	var reading sync.WaitGroup
 	if b.unread {
 		c.SetReadBuffer(4 << 10)
+	} else {
+		reading.Go(func() { io.Copy(io.Discard, c) })
 	}
 	_, err := c.Write(b.message())
 	for err == nil && b.repeated != nil && ctx.Err() == nil {
+		time.Sleep(b.interval)
 		_, err = c.Write(b.repeated)
 	}
-	if !b.unread {
-		io.Copy(io.Discard, c)
-	}
+	reading.Wait()
 }
 
 // memoryWatch records the most anonymous and shared memory of a process, as the platform counts it.
