--- a/internal/cluster/kv/kv_test.go
+++ b/internal/cluster/kv/kv_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -16,11 +14,7 @@
 )
 
 // TestMain fixes the seed of rapid, so that each run generates the same requests unless a seed is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	rapidseed.SetDefault()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.RunTests(m) }
 
 func putOp(key, value string) Op { return Op{Kind: "put", Key: key, Value: json.RawMessage(value)} }
 
--- a/internal/cluster/watch/history_test.go
+++ b/internal/cluster/watch/history_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
@@ -15,11 +13,7 @@
 )
 
 // TestMain fixes the seed of rapid, so that each run generates the same histories unless a seed is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	rapidseed.SetDefault()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.RunTests(m) }
 
 // TestSinceAgainstWholeHistory compares a History with an unbounded list of revisions while revisions
 // are added and dropped and the history is reset. A watcher that reads page by page must get each
--- a/internal/maintenance/decide_test.go
+++ b/internal/maintenance/decide_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -14,11 +13,7 @@
 
 var seeds = flag.Int("seeds", 10, "number of simulated maintenance rounds of 300 machines")
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	rapidseed.SetDefault()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.RunTests(m) }
 
 // newMachines returns n machines in service in three zones. The first five are voters.
 func newMachines(n int) (machines []Machine) {
--- a/internal/proxy/fdquota/fdquota_test.go
+++ b/internal/proxy/fdquota/fdquota_test.go
@@ -1,8 +1,6 @@
 package fdquota
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -11,11 +9,7 @@
 	"oxbowbridge/internal/testrig/rapidseed"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	rapidseed.SetDefault()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.RunTests(m) }
 
 // TestDivide checks for any limit that the quotas, counting lingering connections twice, plus all
 // other descriptors don't exceed the limit, unless BelowMinimum is set.
--- a/internal/proxy/idempotency/table_test.go
+++ b/internal/proxy/idempotency/table_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -16,11 +14,7 @@
 	"oxbowbridge/internal/testrig/rapidseed"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	rapidseed.SetDefault()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.RunTests(m) }
 
 // expectedEntry is the expected state of one key.
 type expectedEntry struct {
--- a/internal/proxy/memquota/quota_test.go
+++ b/internal/proxy/memquota/quota_test.go
@@ -1,8 +1,6 @@
 package memquota
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -11,11 +9,7 @@
 	"oxbowbridge/internal/testrig/rapidseed"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	rapidseed.SetDefault()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.RunTests(m) }
 
 // TestReclaim checks with random sequences of changes that the holders never use more than the maximum after
 // Reclaim, that Reclaim releases nothing below the maximum, and that no holder has to release its memory while a
--- a/internal/proxy/slowstart/slowstart_test.go
+++ b/internal/proxy/slowstart/slowstart_test.go
@@ -1,9 +1,7 @@
 package slowstart
 
 import (
-	"flag"
 	"math"
-	"os"
 	"testing"
 	"time"
 
@@ -13,11 +11,7 @@
 	"oxbowbridge/internal/testrig/rapidseed"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	rapidseed.SetDefault()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.RunTests(m) }
 
 func newConfig(processes int) Config {
 	return Config{Cores: 4, MaxRunsPerCore: 8, MinSpeed: 0.2, Duration: 16 * time.Second, AveragingWindow: 3 * time.Second, Processes: processes}
--- a/internal/storage/durable/plan/planner_test.go
+++ b/internal/storage/durable/plan/planner_test.go
@@ -1,8 +1,6 @@
 package plan
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
@@ -14,11 +12,7 @@
 )
 
 // TestMain sets a fixed seed for rapid, unless a seed is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	rapidseed.SetDefault()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.RunTests(m) }
 
 func defaultLimits(t require.TestingT) Limits {
 	l, err := Limits{}.WithDefaults()
--- a/internal/transport/engine/delivery/delivery_test.go
+++ b/internal/transport/engine/delivery/delivery_test.go
@@ -1,8 +1,6 @@
 package delivery
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -12,11 +10,7 @@
 	"oxbowbridge/internal/testrig/rapidseed"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	rapidseed.SetDefault()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.RunTests(m) }
 
 func TestResync(t *testing.T) {
 	neverSent, unconfirmed := Command{}, Command{}
--- a/internal/transport/framing/framing_test.go
+++ b/internal/transport/framing/framing_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"flag"
-	"os"
 	"slices"
 	"testing"
 
@@ -13,11 +11,7 @@
 	"oxbowbridge/internal/testrig/rapidseed"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	rapidseed.SetDefault()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.RunTests(m) }
 
 var errTooLong = errors.New("too long")
 
