--- a/internal/transport/frontend/conn.go
+++ b/internal/transport/frontend/conn.go
@@ -83,8 +83,9 @@
 	return conn
 }
 
-// OnData passes received bytes to the parser, and sends the responses that it causes together. After malformed input, further bytes are dropped. Earlier
-// requests are still answered, unless the caller floods the connection or does not read responses.
+// OnData passes received bytes to the parser, and sends the responses that they cause together. After malformed input,
+// further bytes are dropped. Earlier requests are still answered, unless the caller floods the connection or does not
+// read responses.
 func (c *Conn) OnData(received []byte) {
 	c.receivedAt = time.Now()
 	if !c.codec.HoldsPartialMessage() {
