Tests: one encoding of FastCGI requests, and a simpler memory watch

The new plays wrote the records of a complete request again, beside fcgiRequest, and the record that begins a request stood in five files: fcgiRequestWithHead and fcgiBeginRequest serve all now. The memory watch is one function instead of a type with two channels that are put back. Bytes that are sent, bounds and checks are unchanged. The program is the same text.

--- a/tests/caller_memory_test.go
+++ b/tests/caller_memory_test.go
@@ -58,7 +58,7 @@
 		head := shortParameters()
 		var message []byte
 		for id := range uint16(openPerConnection) {
-			message = append(message, fcgiRequestWithHead(id+1, head)...)
+			message = append(message, fcgiRequestWithHead(id+1, head, nil)...)
 		}
 		return message
 	}},
@@ -89,7 +89,7 @@
 // incompleteRequests returns the beginning of several requests, each followed by the given records.
 func incompleteRequests(count int, records func(id uint16) []byte) (message []byte) {
 	for id := range uint16(count) {
-		message = append(message, fcgiRecord(1, id+1, []byte{0, 1, 1, 0, 0, 0, 0, 0})...)
+		message = append(message, fcgiBeginRequest(id+1)...)
 		message = append(message, records(id+1)...)
 	}
 	return message
@@ -145,7 +145,7 @@
 	if behavior.protocol == "ajp" {
 		size /= 2 // the frontends divide the descriptors
 	}
-	memory := watchMemory(t, w.service)
+	stopWatch := watchMemory(t, w.service)
 	balancer := startBalancer(w, behavior.protocol, behavior.overload)
 	address := map[string]string{"fastcgi": w.fcgiAddr, "ajp": w.ajpAddr}[behavior.protocol]
 	ctx, stop := context.WithTimeout(t.Context(), crowdDuration)
@@ -156,7 +156,7 @@
 	}
 	crowd.Wait()
 	balancer.stop()
-	peak := memory.stop()
+	peak := stopWatch()
 	t.Logf("most memory: %d kB of %d kB; balancer: %d answered, %d written slowly and answered", peak, memoryMB<<10, balancer.answered.Load(), balancer.answeredSlowly.Load())
 	assert.LessOrEqual(t, peak, memoryMB<<10, "kB of anonymous memory")
 	assert.Positive(t, balancer.answered.Load())
@@ -197,40 +197,28 @@
 	reading.Wait()
 }
 
-// memoryWatch records the most anonymous and shared memory of a process, as the platform counts it.
-type memoryWatch struct {
-	end  chan struct{}
-	peak chan int // in kB, once the watch has ended
-}
-
-func watchMemory(t *testing.T, s *service) *memoryWatch {
-	m := &memoryWatch{end: make(chan struct{}), peak: make(chan int, 1)}
+// watchMemory records the most anonymous and shared memory of a process, as the platform counts it, until stop is called,
+// which returns it in kB.
+func watchMemory(t *testing.T, s *service) (stop func() int) {
+	end, peak := make(chan struct{}), make(chan int, 1)
 	go func() {
 		most := 0
 		for ended := false; !ended; {
 			select {
-			case <-m.end:
+			case <-end:
 				ended = true
 			case <-time.After(memoryPollInterval):
 			}
 			most = max(most, anonymousMemory(s.cmd.Process.Pid))
 		}
-		m.peak <- most
+		peak <- most
 	}()
-	t.Cleanup(sync.OnceFunc(func() { m.stop() }))
-	return m
-}
-
-// stop ends the watch and returns the most memory in kB.
-func (m *memoryWatch) stop() int {
-	select {
-	case <-m.end:
-	default:
-		close(m.end)
-	}
-	most := <-m.peak
-	m.peak <- most
-	return most
+	stop = sync.OnceValue(func() int {
+		close(end)
+		return <-peak
+	})
+	t.Cleanup(func() { stop() })
+	return stop
 }
 
 // anonymousMemory returns the anonymous and shared memory of a process in kB.
--- a/tests/clients_test.go
+++ b/tests/clients_test.go
@@ -84,7 +84,15 @@
 		}
 		add("HTTP_"+strings.ToUpper(strings.ReplaceAll(name, "-", "_")), value)
 	}
-	b := fcgiRecord(1, id, []byte{0, 1, 1, 0, 0, 0, 0, 0})
+	return fcgiRequestWithHead(id, params, body)
+}
+
+// fcgiBeginRequest encodes the record that begins a request on a connection that stays open.
+func fcgiBeginRequest(id uint16) []byte { return fcgiRecord(1, id, []byte{0, 1, 1, 0, 0, 0, 0, 0}) }
+
+// fcgiRequestWithHead encodes a complete request from its encoded parameters.
+func fcgiRequestWithHead(id uint16, params, body []byte) []byte {
+	b := fcgiBeginRequest(id)
 	b = append(b, fcgiRecord(4, id, params)...)
 	b = append(b, fcgiRecord(4, id, nil)...)
 	for ; len(body) > 0; body = body[min(len(body), 700):] {
--- a/tests/flood_test.go
+++ b/tests/flood_test.go
@@ -31,14 +31,14 @@
 	"health checks":                 {"fastcgi", func() []byte { return fcgiRequest(1, "/ping", nil, nil) }},
 	"requests with an unknown role": {"fastcgi", func() []byte { return fcgiRecord(1, 1, []byte{0, 3, 1, 0, 0, 0, 0, 0}) }},
 	"requests that are aborted": {"fastcgi", func() []byte {
-		return append(fcgiRecord(1, 1, []byte{0, 1, 1, 0, 0, 0, 0, 0}), fcgiRecord(2, 1, nil)...)
+		return append(fcgiBeginRequest(1), fcgiRecord(2, 1, nil)...)
 	}},
 	"queries of values": {"fastcgi", func() []byte { return fcgiRecord(9, 0, []byte("\x0e\x00FCGI_MAX_CONNS")) }},
 	"heads of short fields": {"fastcgi", func() []byte {
-		return fcgiRequestWithHead(1, shortParameters())
+		return fcgiRequestWithHead(1, shortParameters(), nil)
 	}},
 	"heads of one repeated field": {"fastcgi", func() []byte {
-		return fcgiRequestWithHead(1, make([]byte, maxParameterBytes))
+		return fcgiRequestWithHead(1, make([]byte, maxParameterBytes), nil)
 	}},
 	"requests with new ids": {"fastcgi", func() []byte {
 		return fcgiRequest(1, "/call/cycle-check", requestHeaders(newTraceID()), []byte("ok"))
@@ -60,10 +60,10 @@
 	for name, f := range floods {
 		t.Run(name, func(t *testing.T) {
 			w := newTestbed(t, func(cfg object) { cfg["limits"].(object)["memory_mb"] = 32 })
-			memory := watchMemory(t, w.service)
+			stopWatch := watchMemory(t, w.service)
 			ctx, stop := context.WithTimeout(t.Context(), floodDuration)
 			defer stop()
-			ended := make(chan int)
+			ended := make(chan int, 1)
 			go func() { ended <- f.send(ctx, w) }()
 			var delays []time.Duration
 			rejected := 0
@@ -79,7 +79,7 @@
 			}
 			sent := <-ended
 			longest := slices.Max(delays)
-			peak := memory.stop()
+			peak := stopWatch()
 			t.Logf("%d kB sent, %d others, %d rejected, longest delay %v, memory %d kB", sent>>10, len(delays), rejected, longest, peak)
 			assert.Less(t, longest, maxFloodDelay)
 			assert.LessOrEqual(t, peak, 32<<10)
@@ -111,11 +111,3 @@
 	}
 	return sentBytes
 }
-
-// fcgiRequestWithHead encodes a complete request without a body from its encoded parameters.
-func fcgiRequestWithHead(id uint16, params []byte) (message []byte) {
-	message = fcgiRecord(1, id, []byte{0, 1, 1, 0, 0, 0, 0, 0})
-	message = append(message, fcgiRecord(4, id, params)...)
-	message = append(message, fcgiRecord(4, id, nil)...)
-	return append(message, fcgiRecord(5, id, nil)...)
-}
--- a/tests/guards_test.go
+++ b/tests/guards_test.go
@@ -113,10 +113,10 @@
 	kb := bytes.Repeat([]byte("x"), 4096)
 	for what, pieces := range map[string][][]byte{
 		"body":       append([][]byte{request}, repeat(fcgiRecord(5, 1, kb))...),
-		"parameters": append([][]byte{fcgiRecord(1, 1, []byte{0, 1, 1, 0, 0, 0, 0, 0})}, repeat(fcgiRecord(4, 1, kb))...),
+		"parameters": append([][]byte{fcgiBeginRequest(1)}, repeat(fcgiRecord(4, 1, kb))...),
 		"management": repeat(fcgiRecord(77, 0, kb[:8])),
 		"no request": repeat(fcgiRecord(5, 9, kb)),
-		"aborted":    repeat(append(fcgiRecord(1, 1, []byte{0, 1, 1, 0, 0, 0, 0, 0}), fcgiRecord(8, 1, kb)...)),
+		"aborted":    repeat(append(fcgiBeginRequest(1), fcgiRecord(8, 1, kb)...)),
 	} {
 		requireClosed(t, dialAndWrite(t, w.fcgiAddr, pieces...), what)
 	}
--- a/tests/slow_callers_test.go
+++ b/tests/slow_callers_test.go
@@ -121,7 +121,7 @@
 		repeated []byte // written until the connection ends
 	}{
 		"FastCGI, body that never ends":   {"fastcgi", fcgiRequestWithoutEnd(), fcgiRecord(5, 1, []byte("x"))},
-		"FastCGI, record that never ends": {"fastcgi", append(fcgiRecord(1, 1, []byte{0, 1, 1, 0, 0, 0, 0, 0}), largeRecord[:20]...), []byte("x")},
+		"FastCGI, record that never ends": {"fastcgi", append(fcgiBeginRequest(1), largeRecord[:20]...), []byte("x")},
 		"FastCGI, first record":           {"fastcgi", largeRecord[:20], []byte("x")},
 		"AJP, body that never ends":       {"ajp", ajpForwardRequest("/call/nom-submit", "s3", requestHeaders(newTraceID()), 2000), ajpBodyChunk([]byte("x"))},
 		"AJP, packet that never ends":     {"ajp", ajpPacket("\x12\x34", make([]byte, 8000))[:20], []byte("x")},
@@ -163,7 +163,7 @@
 	require.NoError(t, err)
 	defer c.Close()
 	const forgotten = 99
-	_, err = c.Write(fcgiRecord(1, forgotten, []byte{0, 1, 1, 0, 0, 0, 0, 0}))
+	_, err = c.Write(fcgiBeginRequest(forgotten))
 	require.NoError(t, err)
 	served := 0
 	for start := time.Now(); time.Since(start) < 15*time.Second; time.Sleep(200 * time.Millisecond) {
